--- a/control/disk/identity.go
+++ b/control/disk/identity.go
@@ -53,8 +53,10 @@
 func createIdentity(o Options) (Identity, error) {
 	var err error
 	identity := Identity{Group: o.Group, Created: true}
-	if identity.Member, err = randomID(); err != nil {
-		return Identity{}, err
+	if identity.Member = o.Member; identity.Member == 0 {
+		if identity.Member, err = randomID(); err != nil {
+			return Identity{}, err
+		}
 	}
 	if identity.Group == 0 {
 		if identity.Group, err = randomID(); err != nil {
--- a/control/disk/store.go
+++ b/control/disk/store.go
@@ -35,6 +35,8 @@
 	Dir string
 	// Group is the group ID for a new identity; 0 chooses a random one.
 	Group uint64
+	// Member is the member ID for a new identity; 0 chooses a random one.
+	Member uint64
 	// Events defaults to a logger that writes nothing.
 	Events *event.Logger
 	// FS defaults to OS.
--- a/control/fleet/leases.go
+++ b/control/fleet/leases.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	upstreamTTL = 2 * time.Second
+	defaultUpstreamTTL = 2 * time.Second
 	// forgetAfter is how long an upstream stays known after it went down.
 	forgetAfter = 24 * time.Hour
 	// driftPercent is the bound on the difference between two clocks' rates.
@@ -22,6 +22,8 @@
 // leases holds the times at which the leader last heard from sessions and upstreams. They hold for one
 // term only: a new leader counts everyone as renewed at its election.
 type leases struct {
+	upstreamTTL time.Duration
+
 	mu sync.Mutex
 	// term is the term in which this member leads, 0 while it does not.
 	term uint64
@@ -47,8 +49,8 @@
 	heard       time.Time
 }
 
-func newLeases() *leases {
-	l := &leases{}
+func newLeases(upstreamTTL time.Duration) *leases {
+	l := &leases{upstreamTTL: upstreamTTL}
 	l.reset(0, time.Time{})
 	return l
 }
@@ -209,7 +211,7 @@
 		if lease, ok := l.upstreams[u.Id]; ok && lease.incarnation == u.Incarnation {
 			heard = later(heard, lease.heard)
 		}
-		if now.Sub(heard) > allowance(upstreamTTL) {
+		if now.Sub(heard) > allowance(l.upstreamTTL) {
 			expired = append(expired, &fleetpb.UpstreamRef{Id: u.Id, Incarnation: u.Incarnation})
 		}
 	})
--- a/control/fleet/leases_test.go
+++ b/control/fleet/leases_test.go
@@ -32,7 +32,7 @@
 		{"leader was stopped", 2 * time.Second, 9 * time.Second, 12 * time.Second, false},
 		{"leader was stopped long ago", 2 * time.Second, 9 * time.Second, 12031 * time.Millisecond, true},
 	} {
-		l := newLeases()
+		l := newLeases(defaultUpstreamTTL)
 		l.reset(1, start)
 		if test.heard > 0 {
 			l.renewSession(1, 5, 0, at(test.heard))
@@ -48,7 +48,7 @@
 
 // Guards against a keepalive that is answered while the end of its session is being logged.
 func TestKeepaliveOfEndingSession(t *testing.T) {
-	l := newLeases()
+	l := newLeases(defaultUpstreamTTL)
 	l.reset(1, time.Now().Add(-time.Minute))
 	if got := l.expiredSessions([]*fleetpb.Session{{Id: 5}}, time.Now()); len(got) != 1 {
 		t.Fatalf("expired: got %v, want the session", got)
@@ -68,7 +68,7 @@
 // Guards I8: only the current incarnation keeps an upstream alive.
 func TestUpstreamExpiry(t *testing.T) {
 	start := time.Now()
-	l := newLeases()
+	l := newLeases(defaultUpstreamTTL)
 	l.reset(1, start)
 	l.renewUpstreams(1, []*fleetpb.UpstreamRef{{Id: "a", Incarnation: 2}, {Id: "b", Incarnation: 1}}, start.Add(time.Second))
 	l.renewUpstreams(1, []*fleetpb.UpstreamRef{{Id: "a", Incarnation: 1}}, start.Add(3*time.Second))
@@ -89,7 +89,7 @@
 // Guards against records of replaced upstreams that pile up, and against losing what operators stopped.
 func TestLongDownUpstreams(t *testing.T) {
 	start := time.Now()
-	l := newLeases()
+	l := newLeases(defaultUpstreamTTL)
 	l.reset(1, start)
 	each := func(visit func(u *fleetpb.Upstream)) {
 		visit(&fleetpb.Upstream{Id: "gone", State: fleetpb.UpstreamState_UPSTREAM_STATE_DOWN})
@@ -120,7 +120,7 @@
 // upstreams.
 func BenchmarkKeepalive(b *testing.B) {
 	machine := bigState(b)
-	service := New(&alone{machine: machine}, machine, event.Discard())
+	service := New(Config{Group: &alone{machine: machine}, State: machine, Events: event.Discard()})
 	request := &fleetpb.KeepaliveRequest{SessionId: 450}
 	for i := range uint64(14) {
 		request.Alive = append(request.Alive, &fleetpb.UpstreamRef{Id: upstreamName(i), Incarnation: 1})
@@ -136,7 +136,7 @@
 // BenchmarkSweep measures one look for expired sessions and upstreams at the same size.
 func BenchmarkSweep(b *testing.B) {
 	machine := bigState(b)
-	l := newLeases()
+	l := newLeases(defaultUpstreamTTL)
 	l.reset(1, time.Now())
 	for b.Loop() {
 		now := time.Now()
@@ -150,7 +150,7 @@
 func TestNewOnesAreNotExpired(t *testing.T) {
 	start := time.Now()
 	now := start.Add(time.Minute)
-	l := newLeases()
+	l := newLeases(defaultUpstreamTTL)
 	l.reset(1, start)
 	sessions := []*fleetpb.Session{{Id: 5}}
 	l.noticeSessions(sessions, now)
--- a/control/fleet/service.go
+++ b/control/fleet/service.go
@@ -38,9 +38,21 @@
 	stopping chan struct{}
 }
 
+// Config configures a Service.
+type Config struct {
+	Group  Group
+	State  *state.Machine
+	Events *event.Logger
+	// UpstreamTTL is the lifetime of an upstream after an announcement; it defaults to that of the design page, 2 s.
+	UpstreamTTL time.Duration
+}
+
 // New returns a service; its Run expires sessions and upstreams.
-func New(group Group, machine *state.Machine, events *event.Logger) *Service {
-	return &Service{group: group, state: machine, events: events, leases: newLeases(), stopping: make(chan struct{})}
+func New(c Config) *Service {
+	if c.UpstreamTTL == 0 {
+		c.UpstreamTTL = defaultUpstreamTTL
+	}
+	return &Service{group: c.Group, state: c.State, events: c.Events, leases: newLeases(c.UpstreamTTL), stopping: make(chan struct{})}
 }
 
 // leading returns the term in which this member leads, or the error for callers.
@@ -101,7 +113,16 @@
 	if s.state.Session(request.SessionId) == nil {
 		return &fleetpb.KeepaliveResponse{SessionEnded: true}, nil
 	}
-	return &fleetpb.KeepaliveResponse{StateIndex: s.state.StateIndex()}, nil
+	return &fleetpb.KeepaliveResponse{StateIndex: s.state.StateIndex(), Members: s.addresses()}, nil
+}
+
+// addresses returns the gRPC addresses of the group's members.
+func (s *Service) addresses() []string {
+	var addresses []string
+	for _, m := range s.group.Status().Membership.GetMembers() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
 }
 
 // CloseSession implements the service.
@@ -127,6 +148,14 @@
 	if request.Upstream == nil {
 		return nil, status.Error(codes.InvalidArgument, "the announcement names no upstream")
 	}
+	if request.Withdraw {
+		result, err := s.propose(ctx, &fleetpb.Command{Body: &fleetpb.Command_AnnounceUpstream{AnnounceUpstream: request}})
+		if err != nil {
+			return nil, err
+		}
+		s.events.Write(event.ControlUpstreamWithdrawn, func(e *log.Entry) { e.Str("upstream", request.Upstream.Id) })
+		return &fleetpb.AnnounceUpstreamResponse{Code: result.Code}, nil
+	}
 	effect, known := s.state.CompareAnnouncement(request.Upstream)
 	if effect == state.AnnouncementStale {
 		return &fleetpb.AnnounceUpstreamResponse{Code: fleetpb.ResultCode_RESULT_CODE_STALE, Desired: known.GetDesired()}, nil
@@ -139,6 +168,11 @@
 		}
 		code = result.Code
 		known = s.state.Upstream(request.Upstream.Id)
+		s.events.Write(event.ControlUpstreamChanged, func(e *log.Entry) {
+			u := request.Upstream
+			e.Str("upstream", u.Id).Uint64("incarnation", u.Incarnation).Uint64("sequence", u.Sequence).Str("address", u.Address).
+				Str("pool", u.Pool).Str("role", u.Role).Str("state", u.State.String()).Str("result", code.String())
+		})
 	}
 	if code == fleetpb.ResultCode_RESULT_CODE_OK {
 		s.leases.renewUpstreams(term, []*fleetpb.UpstreamRef{{Id: request.Upstream.Id, Incarnation: request.Upstream.Incarnation}}, arrived)
--- a/control/fleet/watch.go
+++ b/control/fleet/watch.go
@@ -82,5 +82,5 @@
 
 func empty(e *fleetpb.WatchEvent) bool {
 	return !e.Reset_ && len(e.Objects)+len(e.DeletedObjects)+len(e.Sessions)+len(e.EndedSessions)+
-		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil
+		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil && e.Document == nil
 }
--- a/control/member/member.go
+++ b/control/member/member.go
@@ -45,6 +45,9 @@
 	Self *fleetpb.Member
 	// Dialer makes connections to other members.
 	Dialer fleetrpc.Dialer
+	// Voters is the number of members with a vote that the group aims for; further members stay learners, and
+	// replace voters that are gone. 0 gives every member a vote and replaces none.
+	Voters int
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
 	Storage         Storage
@@ -92,6 +95,8 @@
 	rounds                  readRounds
 	group                   *errgroup.Group
 	lastPromotion           time.Time
+	// silence holds since when the leader has not reached a member.
+	silence map[uint64]time.Time
 }
 
 // Open prepares a member that continues from what storage held; Run starts it.
@@ -191,7 +196,7 @@
 			for range ticks {
 				m.node.Tick()
 			}
-			m.promote()
+			m.maintain()
 		case message := <-m.inbox:
 			m.node.Step(message)
 		case p := <-m.proposals:
--- a/control/member/member_test.go
+++ b/control/member/member_test.go
@@ -31,7 +31,7 @@
 		{&fleetpb.Command{Body: &fleetpb.Command_Complete{}}, false},
 		{&fleetpb.Command{Body: &fleetpb.Command_OpenSession{}}, false},
 	} {
-		if got := hasRequestID(test.command); got != test.want {
+		if got := repeatable(test.command); got != test.want {
 			t.Errorf("%T: got %v, want %v", test.command.Body, got, test.want)
 		}
 	}
--- a/control/member/membership.go
+++ b/control/member/membership.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"azuredoor.example/control/state"
 	"azuredoor.example/core/consensus"
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
@@ -52,21 +52,7 @@
 		}
 		self := proto.CloneOf(m.config.Self)
 		self.Id, self.Learner = m.config.ID, false
-		data, err := state.New().Capture().Encode()
-		if err != nil {
-			return err
-		}
-		// The group starts from a snapshot, so that every other member learns the membership with it.
-		first := &fleetpb.Snapshot{Index: 1, Term: 1, Data: data, Membership: &fleetpb.Membership{Members: []*fleetpb.Member{self}}}
-		stored := consensus.Stored{HardState: &fleetpb.HardState{Term: 1, Commit: 1}, Snapshot: first}
-		if err := m.config.Storage.Save(consensus.Ready{HardState: stored.HardState, Snapshot: first, MustSync: true}); err != nil {
-			return err
-		}
-		if err := m.load(stored); err != nil {
-			return err
-		}
-		m.config.Events.Write(event.ControlGroupFormed, func(e *log.Entry) { e.Str("id", formatID(m.config.ID)) })
-		return nil
+		return m.begin(&fleetpb.Membership{Members: []*fleetpb.Member{self}})
 	})
 }
 
@@ -144,19 +130,7 @@
 		}
 		return &NotLeaderError{Leader: m.Status().LeaderMember()}
 	}
-	return m.change(ctx, func(members *fleetpb.Membership) error {
-		if find(members, id) == nil {
-			return ErrUnknownMember
-		}
-		kept := members.Members[:0]
-		for _, member := range members.Members {
-			if member.Id != id {
-				kept = append(kept, member)
-			}
-		}
-		members.Members = kept
-		return m.checkMajority(members)
-	})
+	return m.change(ctx, m.without(id))
 }
 
 // Replace adds the new member and then removes the old one. It may be repeated after a failure.
@@ -264,9 +238,9 @@
 	return nil
 }
 
-// promote gives a vote to a learner that has caught up. The leader tries again and again, so a change of
-// leader in between does no harm.
-func (m *Member) promote() {
+// maintain gives a vote to a learner that has caught up, and removes a voter that is gone where a learner can take
+// its place. The leader tries again and again, so a change of leader in between does no harm.
+func (m *Member) maintain() {
 	now := time.Now()
 	if now.Sub(m.lastPromotion) < promoteEvery {
 		return
@@ -274,10 +248,16 @@
 	m.lastPromotion = now
 	s := m.node.Status()
 	if s.Role != consensus.Leader {
+		m.silence = nil
+		return
+	}
+	plan := m.repairs(s, now)
+	if plan.remove != 0 {
+		m.removeGone(plan.remove)
 		return
 	}
 	for _, member := range s.Membership.GetMembers() {
-		if !member.Learner {
+		if !slices.Contains(plan.promote, member.Id) {
 			continue
 		}
 		p := &proposal{reply: make(chan proposed, 1)}
@@ -292,6 +272,51 @@
 	}
 }
 
+// repairs decides which members to promote or remove.
+func (m *Member) repairs(s consensus.Status, now time.Time) repair {
+	if m.silence == nil {
+		m.silence = map[uint64]time.Time{}
+	}
+	var states []memberState
+	for _, member := range s.Membership.GetMembers() {
+		state := memberState{id: member.Id, learner: member.Learner}
+		if member.Id == m.config.ID || m.transport.reachable(member.Id) {
+			delete(m.silence, member.Id)
+		} else if since, ok := m.silence[member.Id]; ok {
+			state.silent = now.Sub(since)
+		} else {
+			m.silence[member.Id] = now
+		}
+		_, unreached := m.silence[member.Id]
+		state.reachable = !unreached
+		states = append(states, state)
+	}
+	return planRepair(states, m.config.Voters)
+}
+
+// removeGone proposes to remove a member that does not answer.
+func (m *Member) removeGone(id uint64) {
+	p := &proposal{reply: make(chan proposed, 1)}
+	if err := m.proposeMembership(p, m.without(id)); err != nil {
+		// The next round tries again.
+		return
+	}
+	m.config.Events.Write(event.ControlMemberRemoved, func(e *log.Entry) {
+		e.Str("id", formatID(id)).Str("reason", "silent").Dur("silent", time.Since(m.silence[id]))
+	})
+}
+
+// without returns an edit that removes a member.
+func (m *Member) without(id uint64) func(members *fleetpb.Membership) error {
+	return func(members *fleetpb.Membership) error {
+		if find(members, id) == nil {
+			return ErrUnknownMember
+		}
+		members.Members = slices.DeleteFunc(members.Members, func(member *fleetpb.Member) bool { return member.Id == id })
+		return m.checkMajority(members)
+	}
+}
+
 // HandOver gives leadership to the reachable voter that holds most of the log, and waits until this
 // member no longer leads.
 func (m *Member) HandOver(ctx context.Context) error {
--- a/control/member/propose.go
+++ b/control/member/propose.go
@@ -119,7 +119,7 @@
 }
 
 // Propose proposes a command through the leader, wherever that is. It tries again while it is sure that
-// the command had no effect, and also when the command carries a request ID.
+// the command had no effect, and also when the command may be repeated.
 func (m *Member) Propose(ctx context.Context, command *fleetpb.Command) (*fleetpb.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -131,7 +131,7 @@
 		case err == nil:
 			return result, nil
 		case errors.As(err, &notLeader), errors.Is(err, ErrNotApplied):
-		case errors.Is(err, ErrOutcomeUnknown) && hasRequestID(command):
+		case errors.Is(err, ErrOutcomeUnknown) && repeatable(command):
 			uncertain = true
 		default:
 			return nil, err
@@ -147,9 +147,11 @@
 	}
 }
 
-func hasRequestID(command *fleetpb.Command) bool {
+// repeatable says whether applying a command twice has the effect of applying it once.
+func repeatable(command *fleetpb.Command) bool {
 	switch command.Body.(type) {
-	case *fleetpb.Command_ApplyConfig, *fleetpb.Command_SetDesired, *fleetpb.Command_RemoveUpstream:
+	case *fleetpb.Command_ApplyConfig, *fleetpb.Command_SetDesired, *fleetpb.Command_RemoveUpstream,
+		*fleetpb.Command_PutDocument:
 		return true
 	}
 	return false
--- a/control/member/transport.go
+++ b/control/member/transport.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/core/fleetrpc"
@@ -155,6 +156,41 @@
 	return response, eris.Wrap(err, "ask a member for its ID")
 }
 
-const infoTimeout = 2 * time.Second
+const infoTimeout = 700 * time.Millisecond
+
+// join asks the leader to add the calling process.
+func (t *transport) join(ctx context.Context, leader string, self *fleetpb.Member, id uint64) error {
+	conn, err := t.dialer.Dial(leader)
+	if err != nil {
+		return err
+	}
+	next := proto.CloneOf(self)
+	next.Id = id
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	_, err = fleetpb.NewConsensusClient(conn).Join(ctx, &fleetpb.JoinRequest{Member: next})
+	if closing := conn.Close(); err == nil && closing != nil {
+		err = closing
+	}
+	return eris.Wrap(err, "ask the leader to join")
+}
+
+// CallLeader makes a call on the leader's connection. It returns a *NotLeaderError when this member leads or knows no
+// connected leader.
+func (m *Member) CallLeader(ctx context.Context, call func(ctx context.Context, client fleetpb.FleetClient) error) error {
+	leader := m.Status().LeaderMember()
+	if leader == nil || leader.Id == m.config.ID {
+		return &NotLeaderError{Leader: leader}
+	}
+	p := m.transport.peer(leader.Id)
+	if p == nil {
+		return &NotLeaderError{Leader: leader}
+	}
+	conn := p.connection()
+	if conn == nil {
+		return &NotLeaderError{Leader: leader}
+	}
+	return call(ctx, fleetpb.NewFleetClient(conn))
+}
 
 func formatID(id uint64) string { return strconv.FormatUint(id, 16) }
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -35,7 +35,7 @@
 	ID   uint64
 	Name string
 	// Listener serves the other processes, AdminListener the operators. Their addresses are what other
-	// members connect to.
+	// members connect to. AdminListener may be nil where operators reach the group through the methods of Server.
 	Listener, AdminListener net.Listener
 	// Advertise and AdminAdvertise are where others reach the listeners; they default to the listeners' addresses.
 	Advertise, AdminAdvertise string
@@ -44,7 +44,13 @@
 	Tokens                    *admin.Tokens
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
-	Storage         member.Storage
+	// Joining lets the member find its group without an operator; nil leaves that to operators.
+	Joining *member.Joining
+	// Voters is the number of members with a vote; 0 gives every member one.
+	Voters int
+	// UpstreamTTL is the lifetime of an upstream after an announcement; 0 means the default.
+	UpstreamTTL time.Duration
+	Storage     member.Storage
 	// Stored is what Storage held at start.
 	Stored consensus.Stored
 	Events *event.Logger
@@ -63,20 +69,23 @@
 // Open loads the stored state.
 func Open(config Config) (*Server, error) {
 	machine := state.New()
+	self := &fleetpb.Member{Name: config.Name, Address: publicAddress(config.Advertise, config.Listener), FailureDomain: config.FailureDomain}
+	if config.AdminListener != nil {
+		self.AdminAddress = publicAddress(config.AdminAdvertise, config.AdminListener)
+	}
 	m, err := member.Open(member.Config{
-		ID: config.ID,
-		Self: &fleetpb.Member{
-			Name: config.Name, Address: publicAddress(config.Advertise, config.Listener),
-			AdminAddress: publicAddress(config.AdminAdvertise, config.AdminListener), FailureDomain: config.FailureDomain,
-		},
+		ID: config.ID, Self: self, Voters: config.Voters,
 		Dialer: fleetrpc.Dialer{Secret: config.Secret, Source: host(config.Listener)}, SnapshotEntries: config.SnapshotEntries,
 		Storage: config.Storage, Stored: config.Stored, State: machine, Events: config.Events,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{config: config, state: machine, member: m, fleet: fleet.New(m, machine, config.Events), grpc: fleetrpc.NewServer(config.Secret, config.Events)}
-	s.admin = admin.New(admin.Config{Source: host(config.AdminListener), Group: m, State: machine, Revisions: s.fleet, Tokens: config.Tokens, Events: config.Events})
+	s := &Server{config: config, state: machine, member: m, grpc: fleetrpc.NewServer(config.Secret, config.Events)}
+	s.fleet = fleet.New(fleet.Config{Group: m, State: machine, Events: config.Events, UpstreamTTL: config.UpstreamTTL})
+	if config.AdminListener != nil {
+		s.admin = admin.New(admin.Config{Source: host(config.AdminListener), Group: m, State: machine, Revisions: s.fleet, Tokens: config.Tokens, Events: config.Events})
+	}
 	fleetpb.RegisterConsensusServer(s.grpc, &member.Server{Member: m})
 	fleetpb.RegisterFleetServer(s.grpc, s.fleet)
 	return s, nil
@@ -91,7 +100,12 @@
 	group.Go(func() error { return s.member.Run(running) })
 	group.Go(func() error { return s.fleet.Run(running) })
 	group.Go(func() error { return eris.Wrap(s.grpc.Serve(s.config.Listener), "serve other processes") })
-	group.Go(func() error { return s.admin.Serve(s.config.AdminListener) })
+	if s.admin != nil {
+		group.Go(func() error { return s.admin.Serve(s.config.AdminListener) })
+	}
+	if s.config.Joining != nil {
+		group.Go(func() error { return s.member.KeepJoined(running, *s.config.Joining) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -123,8 +137,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	s.fleet.Stop()
-	// An error means that calls were still open after closeTime; they end with the process.
-	_ = s.admin.Shutdown(ctx)
+	if s.admin != nil {
+		// An error means that calls were still open after closeTime; they end with the process.
+		_ = s.admin.Shutdown(ctx)
+	}
 	var group errgroup.Group
 	stopped := make(chan struct{})
 	group.Go(func() error {
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -42,6 +42,8 @@
 	firstSession   uint64
 	upstreams      map[string]*fleetpb.Upstream
 	lease          *fleetpb.OrderLease
+	// document is the operators' document, nil while there is none.
+	document *fleetpb.Document
 
 	claims          map[claimKey]*fleetpb.ClaimRecord
 	claimsBySession map[uint64]map[claimKey]bool
@@ -71,6 +73,7 @@
 	m.sessionsByName = map[string]uint64{}
 	m.upstreams = map[string]*fleetpb.Upstream{}
 	m.lease = &fleetpb.OrderLease{}
+	m.document = nil
 	m.claims = map[claimKey]*fleetpb.ClaimRecord{}
 	m.claimsBySession = map[uint64]map[claimKey]bool{}
 	m.expiries = nil
@@ -137,6 +140,8 @@
 		return m.complete(body.Complete)
 	case *fleetpb.Command_AcquireOrderLease:
 		return m.acquireOrderLease(body.AcquireOrderLease)
+	case *fleetpb.Command_PutDocument:
+		return m.putDocument(body.PutDocument)
 	}
 	return failure(fleetpb.ResultCode_RESULT_CODE_INVALID, "the command is empty or of an unknown kind")
 }
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -26,7 +26,7 @@
 		Objects:  slices.Collect(maps.Values(m.objects)),
 		Sessions: sortedValues(m.sessions), Upstreams: sortedValues(m.upstreams),
 		Claims: slices.Collect(maps.Values(m.claims)), History: slices.Clone(m.history), OrderLease: m.lease,
-		FirstSession: m.firstSession,
+		FirstSession: m.firstSession, Document: m.document,
 	}
 	for _, id := range m.requestOrder {
 		s.Requests = append(s.Requests, m.requests[id])
@@ -68,7 +68,7 @@
 	m.clear()
 	m.config = set
 	m.applied, m.revision, m.stateIndex, m.timeMillis = s.Applied, s.Revision, s.StateIndex, s.TimeMillis
-	m.firstSession = s.FirstSession
+	m.firstSession, m.document = s.FirstSession, s.Document
 	m.restoreRecords(s)
 	// Watchers that are current up to the newest change have missed nothing.
 	m.recent.floor = s.StateIndex
--- a/control/state/upstream.go
+++ b/control/state/upstream.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -24,6 +26,9 @@
 )
 
 func (m *Machine) announceUpstream(c *fleetpb.AnnounceUpstreamRequest) *fleetpb.Result {
+	if c.Withdraw {
+		return m.withdrawUpstream(c.Upstream.GetId())
+	}
 	if text := checkUpstream(c.Upstream); text != "" {
 		return failure(fleetpb.ResultCode_RESULT_CODE_INVALID, "%s", text)
 	}
@@ -34,12 +39,57 @@
 		return success()
 	case AnnouncementChanges:
 	}
+	if m.superseded(c.Upstream) {
+		return failure(fleetpb.ResultCode_RESULT_CODE_STALE, "upstream %q has lost its address to a newer upstream", c.Upstream.Id)
+	}
+	m.supersede(c.Upstream)
 	next := proto.CloneOf(c.Upstream)
 	next.Desired = m.upstreams[next.Id].GetDesired()
 	m.putUpstream(next)
 	return success()
 }
 
+// superseded says whether an active upstream that started later announces the same address. An announcement that
+// a partition delayed past the end of its sender must not bring the sender back.
+func (m *Machine) superseded(u *fleetpb.Upstream) bool {
+	for _, other := range m.upstreams {
+		if other.Id != u.Id && other.Address == u.Address && other.Incarnation > u.Incarnation &&
+			other.State != fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
+			return true
+		}
+	}
+	return false
+}
+
+// supersede marks the other upstreams at the address of u as down: an address has one process at a time.
+func (m *Machine) supersede(u *fleetpb.Upstream) {
+	for _, id := range slices.Sorted(maps.Keys(m.upstreams)) {
+		other := m.upstreams[id]
+		if id == u.Id || other.Address != u.Address || other.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
+			continue
+		}
+		next := proto.CloneOf(other)
+		next.State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
+		m.putUpstream(next)
+	}
+}
+
+// withdrawUpstream marks an upstream that leaves for good. No announcement of the same incarnation counts
+// afterwards, however late it arrives.
+func (m *Machine) withdrawUpstream(id string) *fleetpb.Result {
+	known := m.upstreams[id]
+	if known == nil || known.State == fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && known.Sequence == math.MaxUint64 {
+		return success()
+	}
+	next := proto.CloneOf(known)
+	next.Sequence = math.MaxUint64
+	if next.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE {
+		next.State = fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING
+	}
+	m.putUpstream(next)
+	return success()
+}
+
 func checkUpstream(u *fleetpb.Upstream) string {
 	if u.GetId() == "" || len(u.Id) > maxText || u.Address == "" || len(u.Address) > maxText {
 		return "an upstream has an ID and an address of at most 256 bytes"
--- a/control/state/watch.go
+++ b/control/state/watch.go
@@ -20,6 +20,7 @@
 	changedSession
 	changedUpstream
 	changedLease
+	changedDocument
 )
 
 type changeKey struct {
@@ -79,6 +80,7 @@
 		event.Sessions = slices.Collect(maps.Values(m.sessions))
 		event.Upstreams = slices.Collect(maps.Values(m.upstreams))
 		event.OrderLease = m.lease
+		event.Document = m.document
 		return event
 	}
 	seen := map[changeKey]bool{}
@@ -113,6 +115,8 @@
 		}
 	case changedLease:
 		event.OrderLease = m.lease
+	case changedDocument:
+		event.Document = m.document
 	}
 }
 
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -33,6 +33,15 @@
 	ControlOperatorRefused
 	ControlHandOverFailed
 	ControlStopping
+	ControlMemberRemoved
+	ControlJoining
+	ControlUpstreamChanged
+	ControlUpstreamWithdrawn
+	ControlDocumentStored
+	ControlDocumentRefused
+	ControlDocumentRead
+	ControlCallFailed
+	ControlSettingsReloaded
 )
 
 var controlEvents = map[ID]Description{
@@ -59,4 +68,13 @@
 	ControlOperatorRefused:   {log.WarnLevel, "operator call refused: token missing, wrong or without the right"},
 	ControlHandOverFailed:    {log.WarnLevel, "leadership could not be handed over before stopping"},
 	ControlStopping:          {log.InfoLevel, "control member is stopping"},
+	ControlMemberRemoved:     {log.WarnLevel, "a member was removed from the control group"},
+	ControlJoining:           {log.InfoLevel, "this process asks to join the control group"},
+	ControlUpstreamChanged:   {log.InfoLevel, "an upstream announced a change"},
+	ControlUpstreamWithdrawn: {log.InfoLevel, "an upstream left"},
+	ControlDocumentStored:    {log.InfoLevel, "a configuration document was acknowledged"},
+	ControlDocumentRefused:   {log.WarnLevel, "a configuration document was refused"},
+	ControlDocumentRead:      {log.InfoLevel, "the configuration document was read"},
+	ControlCallFailed:        {log.WarnLevel, "a call to the control group got no clear outcome"},
+	ControlSettingsReloaded:  {log.InfoLevel, "settings reloaded"},
 }
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -21,6 +21,13 @@
 	OrderLeaseHeld
 	OrderSent
 	HandoverFailed
+	DocumentApplied
+	EntryReloaded
+	UpstreamEjected
+	UpstreamRestored
+	UpstreamChanged
+	ConnectionEnded
+	ReadinessChanged
 )
 
 var entryEvents = map[ID]Description{
@@ -41,4 +48,11 @@
 	OrderLeaseHeld:      {log.InfoLevel, "order lease held by this entry"},
 	OrderSent:           {log.InfoLevel, "order sent to an engine"},
 	HandoverFailed:      {log.WarnLevel, "token buckets could not be handed over"},
+	DocumentApplied:     {log.InfoLevel, "a configuration document is in force"},
+	EntryReloaded:       {log.InfoLevel, "settings reloaded"},
+	UpstreamEjected:     {log.WarnLevel, "an upstream gets no requests for a while after failures"},
+	UpstreamRestored:    {log.InfoLevel, "an upstream gets requests again"},
+	UpstreamChanged:     {log.InfoLevel, "an upstream came, changed or left"},
+	ConnectionEnded:     {log.InfoLevel, "connections of callers ended without an answer"},
+	ReadinessChanged:    {log.InfoLevel, "readiness changed"},
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -2,9 +2,12 @@
 package event
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 )
@@ -21,7 +24,15 @@
 
 // Logger writes events of one process.
 type Logger struct {
-	log log.Logger
+	log   log.Logger
+	queue *log.AsyncWriter
+
+	// The fields below bound the lines of each event in a second.
+	bound   int
+	mu      sync.Mutex
+	second  int64
+	written map[ID]int
+	dropped int
 }
 
 // Options configure a Logger.
@@ -34,6 +45,11 @@
 	Text bool
 	// Program and Name identify the process in each line.
 	Program, Name string
+	// Queue, if set, is the number of lines that may wait for the writer; further ones are left out, so that a slow
+	// reader of the log delays no request.
+	Queue uint
+	// PerSecond, if set, bounds the lines of each event in a second.
+	PerSecond int
 }
 
 // New returns a logger.
@@ -49,8 +65,44 @@
 	if o.Level != "" {
 		level = log.ParseLevel(o.Level)
 	}
+	l := &Logger{bound: o.PerSecond, written: map[ID]int{}}
+	if o.Queue > 0 {
+		l.queue = &log.AsyncWriter{Writer: writer, ChannelSize: o.Queue, DiscardOnFull: true}
+		writer = l.queue
+	}
 	context := log.NewContext(nil).Str("program", o.Program).Str("name", o.Name).Value()
-	return &Logger{log: log.Logger{Level: level, Writer: writer, Context: context}}
+	l.log = log.Logger{Level: level, Writer: writer, Context: context}
+	return l
+}
+
+// Close writes the lines that wait.
+func (l *Logger) Close() error {
+	if l.queue == nil {
+		return nil
+	}
+	if err := l.queue.Close(); err != nil && !errors.Is(err, os.ErrClosed) {
+		return fmt.Errorf("write the last log lines: %w", err)
+	}
+	return nil
+}
+
+// admit says whether a line of the event is within the bound, and how many were left out in the second before.
+func (l *Logger) admit(id ID) (ok bool, dropped int) {
+	if l.bound == 0 {
+		return true, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now().Unix(); now != l.second {
+		l.second, dropped, l.dropped = now, l.dropped, 0
+		clear(l.written)
+	}
+	if l.written[id] >= l.bound {
+		l.dropped++
+		return false, dropped
+	}
+	l.written[id]++
+	return true, dropped
 }
 
 // Discard returns a logger that writes nothing.
@@ -64,6 +116,13 @@
 	if !ok {
 		description = Description{Level: log.ErrorLevel, Text: fmt.Sprintf("event %d is not in the catalogue", id)}
 	}
+	ok, dropped := l.admit(id)
+	if dropped > 0 {
+		l.log.WithLevel(Catalogue[LinesDropped].Level).Int("event", int(LinesDropped)).Int("lines", dropped).Msg(Catalogue[LinesDropped].Text)
+	}
+	if !ok {
+		return
+	}
 	entry := l.log.WithLevel(description.Level)
 	if entry == nil {
 		return
--- a/core/event/request.go
+++ b/core/event/request.go
@@ -14,6 +14,9 @@
 	RelayCompleteFailed
 	RelayClaimFailed
 	EngineEventsBroken
+	RequestEnded
+	HandleNotFreed
+	LinesDropped
 )
 
 var requestEvents = map[ID]Description{
@@ -27,4 +30,7 @@
 	RelayCompleteFailed: {log.ErrorLevel, "recording the end of an at-most-once request failed"},
 	RelayClaimFailed:    {log.WarnLevel, "claiming an at-most-once request failed"},
 	EngineEventsBroken:  {log.InfoLevel, "event stream of an engine broke"},
+	RequestEnded:        {log.InfoLevel, "request ended"},
+	HandleNotFreed:      {log.InfoLevel, "the result of a prefill could not be freed"},
+	LinesDropped:        {log.WarnLevel, "log lines were left out to bound their number"},
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -25,8 +25,13 @@
 	*flag.FlagSet
 	prefix   string
 	required []string
+	file     string
 }
 
+// File names a file with a line "name value" for each setting. Flags and environment variables go before it, and names
+// that the set does not know are ignored.
+func (s *Set) File(path string) { s.file = path }
+
 // New returns an empty set. The prefix has no trailing underscore.
 func New(program, prefix string) *Set {
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
@@ -40,7 +45,11 @@
 	if err := s.checkEnvironment(os.Environ()); err != nil {
 		return err
 	}
-	if err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(s.prefix)); err != nil {
+	options := []ff.Option{ff.WithEnvVarPrefix(s.prefix)}
+	if s.file != "" {
+		options = append(options, ff.WithConfigFile(s.file), ff.WithConfigFileParser(ff.PlainParser), ff.WithIgnoreUndefined(true))
+	}
+	if err := ff.Parse(s.FlagSet, args, options...); err != nil {
 		return oneLine(err)
 	}
 	if s.NArg() > 0 {
--- a/entry/caller/dispatch.go
+++ b/entry/caller/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"azuredoor.example/entry/relay"
+	"azuredoor.example/entry/tcp"
 )
 
 // dispatch is the last step: it runs the request.
@@ -52,8 +53,8 @@
 	x.admitted = func() { r.admitted.Store(true) }
 	s.runs.add(r)
 	stopWatch := func() {}
-	if c, ok := x.HTTP.Conn().(*callerConn); ok {
-		stopWatch = c.watch(&s.group, func() { cancel(relay.ErrCallerGone) })
+	if c, ok := x.HTTP.Conn().(*tcp.Conn); ok {
+		stopWatch = c.Watch(&s.group, func() { cancel(relay.ErrCallerGone) })
 	}
 	return ctx, func() {
 		stopWatch()
--- a/entry/caller/problem.go
+++ b/entry/caller/problem.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"azuredoor.example/entry/relay"
+	"azuredoor.example/entry/tcp"
 )
 
 // Response headers.
@@ -71,8 +72,8 @@
 
 // refuse answers a request that could not be read.
 func refuse(ctx *fasthttp.RequestCtx, err error) {
-	if c, ok := ctx.Conn().(*callerConn); ok {
-		c.linger = true
+	if c, ok := ctx.Conn().(*tcp.Conn); ok {
+		c.Linger = true
 	}
 	var (
 		small   *fasthttp.ErrSmallBuffer
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -18,6 +18,7 @@
 	"azuredoor.example/core/metric"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/relay"
+	"azuredoor.example/entry/tcp"
 )
 
 // Control is what the server needs to know of the control group.
@@ -95,7 +96,7 @@
 	base     context.Context
 	end      context.CancelCauseFunc
 	draining atomic.Bool
-	listener atomic.Pointer[listener]
+	listener atomic.Pointer[tcp.Listener]
 }
 
 // New returns a server.
@@ -140,7 +141,7 @@
 		s.runs.endStale(s.base, s.options.Control, s.options.StaleGrace, s.reportEnded)
 		return nil
 	})
-	own := &listener{Listener: ln, write: s.options.WriteTimeout}
+	own := &tcp.Listener{Listener: ln, WriteTimeout: s.options.WriteTimeout}
 	s.listener.Store(own)
 	if err := s.http.Serve(own); err != nil {
 		s.options.Log.Error(event.CallerAcceptFailed, err)
@@ -188,7 +189,7 @@
 		s.awaitEnded()
 	}
 	if ln := s.listener.Load(); ln != nil {
-		ln.closeAll()
+		ln.CloseAll()
 	}
 	s.options.Log.Write(event.CallerDrainEnded, func(e *log.Entry) { e.Int("requests", s.runs.count()) })
 	if err != nil {
--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -57,6 +57,10 @@
 	Silence time.Duration
 	// Idle bounds how long a connection is kept for reuse [5 s].
 	Idle time.Duration
+	// Unacknowledged bounds how long sent bytes may stay unacknowledged [Write + Silence].
+	Unacknowledged time.Duration
+	// KeepAlive bounds how long a connection is kept whose peer stated no time [Idle].
+	KeepAlive time.Duration
 	// IdlePerAddress bounds the connections kept for each address [32].
 	IdlePerAddress int
 }
@@ -72,6 +76,8 @@
 	set(&o.FirstByte, 2*time.Second)
 	set(&o.Silence, 2*time.Second)
 	set(&o.Idle, 5*time.Second)
+	set(&o.Unacknowledged, o.Write+o.Silence)
+	set(&o.KeepAlive, o.Idle)
 	if o.IdlePerAddress == 0 {
 		o.IdlePerAddress = 32
 	}
@@ -91,8 +97,9 @@
 	deadline        time.Time
 	began, answered bool
 	// failed is the last error of a read. fasthttp replaces errors before the first byte by io.EOF.
-	failed    error
-	idleSince time.Time
+	failed error
+	// idleSince is when the connection became idle, idleUntil when its peer may close it.
+	idleSince, idleUntil time.Time
 }
 
 // Read implements io.Reader with the bounds of the current call.
@@ -162,24 +169,6 @@
 	return quiet
 }
 
-// tune makes the kernel give up on a peer that vanished without a word.
-func tune(c *net.TCPConn, userTimeout time.Duration) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("get descriptor: %w", err)
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); err != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
-	}
-	if failed != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", failed)
-	}
-	return nil
-}
-
 // Call is one exchange with an upstream.
 type Call struct {
 	Address string
@@ -187,6 +176,13 @@
 	// Reuse allows a kept-alive connection, and a second try on a fresh one when the kept-alive connection
 	// breaks or stays silent before the first byte of the response. Set it for idempotent work only.
 	Reuse bool
+	// Once forbids that second try: the request must not be sent twice.
+	Once bool
+	// Match, if set, says whether a response belongs to the request. Others, such as the late second response to an
+	// earlier request, are skipped.
+	Match func(*fasthttp.ResponseHeader) bool
+	// Limit bounds the open connections to the address; 0 means no bound.
+	Limit int
 	// FirstByte and Silence override the bounds of the pool.
 	FirstByte, Silence time.Duration
 	// MaxBody bounds the body of a buffered response in bytes; 0 means no bound.
@@ -213,13 +209,13 @@
 		if l := p.take(call.Address); l != nil {
 			body, err := p.exchange(ctx, l, call, response, stream)
 			var failed *Error
-			if err == nil || ctx.Err() != nil || !errors.As(err, &failed) || failed.Answered {
+			if err == nil || call.Once || ctx.Err() != nil || !errors.As(err, &failed) || failed.Answered {
 				return body, err
 			}
 			response.Reset()
 		}
 	}
-	l, err := p.dial(ctx, call.Address)
+	l, err := p.dial(ctx, call.Address, call.Limit)
 	if err != nil {
 		return nil, &Error{Address: call.Address, Err: cause(ctx, nil, err)}
 	}
@@ -258,7 +254,7 @@
 		err = l.writer.Flush()
 	}
 	if err == nil {
-		err = response.ReadLimitBody(l.reader, call.MaxBody)
+		err = l.readMatching(call, response, stream)
 	}
 	if err != nil {
 		failed := &Error{Address: l.address, Sent: l.began, Answered: l.answered, Err: cause(ctx, l, err)}
@@ -269,6 +265,35 @@
 	return body, nil
 }
 
+// maxForeign bounds the responses that are skipped because they belong to another request.
+const maxForeign = 3
+
+// ErrForeign means that only responses to other requests arrived.
+var ErrForeign = errors.New("the response belongs to another request")
+
+// readMatching reads the response that belongs to the call.
+func (l *link) readMatching(call Call, response *fasthttp.Response, stream bool) error {
+	for range maxForeign {
+		response.SkipBody = call.Request.Header.IsHead()
+		if err := response.ReadLimitBody(l.reader, call.MaxBody); err != nil {
+			return err //nolint:wrapcheck // wrapped by the call
+		}
+		if call.Match == nil || call.Match(&response.Header) {
+			return nil
+		}
+		if stream {
+			if _, err := io.Copy(io.Discard, response.BodyStream()); err != nil {
+				return err //nolint:wrapcheck // wrapped by the call
+			}
+			// The stream is only returned to its pool.
+			_ = response.CloseBodyStream()
+		}
+		response.Reset()
+		response.StreamBody = stream
+	}
+	return ErrForeign
+}
+
 // Body is the streamed body of a response. It is not safe for concurrent use.
 type Body struct {
 	pool     *Pool
@@ -317,8 +342,9 @@
 		_ = b.response.CloseBodyStream()
 	}
 	if stopped := b.stop(); !stopped || !whole || closing || b.link.reader.Buffered() > 0 {
-		_ = b.link.Close()
+		b.pool.drop(b.link)
 		return
 	}
+	b.link.idleUntil = time.Now().Add(b.pool.keepAlive(&b.response.Header))
 	b.pool.put(b.link)
 }
--- a/entry/conn/pool.go
+++ b/entry/conn/pool.go
@@ -3,10 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"azuredoor.example/entry/tcp"
 )
 
 // Pool opens connections and keeps idle ones for idempotent work.
@@ -14,8 +21,10 @@
 	options Options
 	dialer  net.Dialer
 
-	mu     sync.Mutex
-	idle   map[string][]*link
+	mu   sync.Mutex
+	idle map[string][]*link
+	// open counts the connections to each address, idle ones included.
+	open   map[string]int
 	swept  time.Time
 	closed bool
 }
@@ -29,25 +38,81 @@
 			Timeout:         options.Connect,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
 		},
-		idle: map[string][]*link{},
+		idle: map[string][]*link{}, open: map[string]int{},
+	}
+}
+
+// ErrLimit means that the bound on connections to an address is reached.
+var ErrLimit = errors.New("the bound on connections is reached")
+
+// dial opens a connection unless limit connections to the address are open.
+func (p *Pool) dial(ctx context.Context, address string, limit int) (*link, error) {
+	p.mu.Lock()
+	if limit > 0 && p.open[address] >= limit {
+		p.mu.Unlock()
+		return nil, ErrLimit
+	}
+	p.open[address]++
+	p.mu.Unlock()
+	l, err := p.connect(ctx, address)
+	if err != nil {
+		p.forget(address)
+		return nil, err
+	}
+	return l, nil
+}
+
+// Open returns the number of open connections to an address.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// drop closes a connection.
+func (p *Pool) drop(l *link) {
+	// Closing fails only on a connection that is closed already.
+	_ = l.Close()
+	p.forget(l.address)
+}
+
+// keepAliveMargin is kept before the end that a peer stated for idle connections: the request must arrive before.
+const keepAliveMargin = 300 * time.Millisecond
+
+// keepAlive returns how long a connection may be reused after a response.
+func (p *Pool) keepAlive(h *fasthttp.ResponseHeader) time.Duration {
+	for part := range strings.SplitSeq(string(h.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return min(time.Duration(seconds)*time.Second-keepAliveMargin, p.options.Idle)
+		}
 	}
+	return p.options.KeepAlive
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*link, error) {
+func (p *Pool) connect(ctx context.Context, address string) (*link, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	tcp, ok := c.(*net.TCPConn)
+	socket, ok := c.(*net.TCPConn)
 	if !ok {
 		_ = c.Close()
 		return nil, fmt.Errorf("connect: got %T, want a TCP connection", c)
 	}
-	if err := tune(tcp, p.options.Write+p.options.Silence); err != nil {
+	if err := tcp.SetUserTimeout(socket, p.options.Unacknowledged); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
-	l := &link{TCPConn: tcp, pool: p, address: address}
+	l := &link{TCPConn: socket, pool: p, address: address}
 	l.reader, l.writer = bufio.NewReader(l), bufio.NewWriter(l)
 	return l, nil
 }
@@ -64,10 +129,10 @@
 		l := links[len(links)-1]
 		p.idle[address] = links[:len(links)-1]
 		p.mu.Unlock()
-		if time.Since(l.idleSince) < p.options.Idle && l.alive() {
+		if time.Since(l.idleSince) < p.options.Idle && time.Now().Before(l.idleUntil) && l.alive() {
 			return l
 		}
-		_ = l.Close()
+		p.drop(l)
 	}
 }
 
@@ -87,7 +152,7 @@
 	}
 	p.mu.Unlock()
 	for _, l := range drop {
-		_ = l.Close()
+		p.drop(l)
 	}
 }
 
@@ -99,7 +164,7 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, l := range links {
-		_ = l.Close()
+		p.drop(l)
 	}
 }
 
@@ -128,7 +193,7 @@
 	p.mu.Unlock()
 	for _, links := range idle {
 		for _, l := range links {
-			_ = l.Close()
+			p.drop(l)
 		}
 	}
 }
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/core/fleetrpc"
@@ -23,17 +24,24 @@
 	// PeerAddress is where other entries reach this one, host:port.
 	PeerAddress           string
 	FailureDomain, Region string
-	// Members are the gRPC addresses of control members; at least one.
+	// Members are the gRPC addresses of control members at start; at least one. Later the group tells its members.
 	Members []string
-	Dialer  fleetrpc.Dialer
-	Events  *event.Logger
-	// KeepaliveInterval and FreshnessBound default to the values of the design page, 500 ms and 3 s.
+	// Reseed, if set, returns addresses to try when none of the known members answers for the freshness bound.
+	Reseed func() []string
+	// Decode reads the operators' document; nil leaves documents out of the view.
+	Decode func(data []byte) (*document.Document, error)
+	Dialer fleetrpc.Dialer
+	Events *event.Logger
+	// KeepaliveInterval and FreshnessBound default to the values of the design page, 500 ms and 3 s. A FreshnessBound
+	// beyond the session's lifetime lengthens freshness alone.
 	KeepaliveInterval, FreshnessBound time.Duration
 }
 
 const (
 	defaultKeepaliveInterval = 500 * time.Millisecond
 	defaultFreshnessBound    = 3 * time.Second
+	// sessionTTL is the lifetime that the control group gives a session after a keepalive.
+	sessionTTL = 3 * time.Second
 )
 
 // Client holds an entry's session and its view of the replicated state.
@@ -88,6 +96,17 @@
 // Fresh says whether the view is proved to be no older than the freshness bound.
 func (c *Client) Fresh() bool { return c.StaleFor() == 0 }
 
+// Age returns how old the proof is that the view was current.
+func (c *Client) Age() time.Duration { return sinceBoot() - time.Duration(c.freshAt.Load()) }
+
+// reseed adds the addresses of the settings to the known members after all of them failed: the settings may name
+// members that this entry has never met.
+func (c *Client) reseed() {
+	if c.config.Reseed != nil {
+		c.members.add(c.config.Reseed())
+	}
+}
+
 // StaleFor returns how long the view has not been fresh; 0 while it is.
 func (c *Client) StaleFor() time.Duration {
 	over := sinceBoot() - time.Duration(c.freshAt.Load()) - c.config.FreshnessBound
@@ -166,6 +185,7 @@
 	})
 	if err != nil {
 		c.config.Events.Error(event.SessionOpenFailed, err)
+		c.reseed()
 		return
 	}
 	c.sessionUntil.Store(int64(sentAt + time.Duration(answer.TtlMillis)*time.Millisecond))
@@ -194,11 +214,13 @@
 			c.Heard(ref.Id, ref.Incarnation)
 		}
 		c.config.Events.Error(event.KeepaliveFailed, err)
+		c.reseed()
 	case answer.SessionEnded:
 		c.sessionID.Store(0)
 		c.config.Events.Write(event.SessionLost, func(e *log.Entry) { e.Uint64("session", request.SessionId) })
 	default:
-		c.sessionUntil.Store(int64(sentAt + c.config.FreshnessBound))
+		c.sessionUntil.Store(int64(sentAt + min(c.config.FreshnessBound, sessionTTL)))
+		c.members.set(answer.Members)
 		c.prove(proof{sentAt: sentAt, stateIndex: answer.StateIndex})
 	}
 }
--- a/entry/control/leader.go
+++ b/entry/control/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,41 @@
 	}
 }
 
+// known returns the addresses of the members, at least one.
+func (m *members) known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.addresses
+}
+
+// set replaces the members by those that the group told of. An empty list changes nothing.
+func (m *members) set(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(addresses) == 0 || slices.Equal(addresses, m.addresses) {
+		return
+	}
+	m.addresses = slices.Clone(addresses)
+	for address, conn := range m.conns {
+		if !slices.Contains(m.addresses, address) && address != m.leader {
+			_ = conn.Close()
+			delete(m.conns, address)
+		}
+	}
+}
+
+// add makes further members known.
+func (m *members) add(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addresses = slices.Clone(m.addresses)
+	for _, address := range addresses {
+		if !slices.Contains(m.addresses, address) {
+			m.addresses = append(m.addresses, address)
+		}
+	}
+}
+
 func (m *members) close() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -24,7 +24,8 @@
 
 func (c *Client) keepWatching(ctx context.Context) error {
 	// Entries start at different members, which spreads the streams.
-	address := c.config.Members[rand.IntN(len(c.config.Members))]
+	known := c.members.known()
+	address := known[rand.IntN(len(known))]
 	for ctx.Err() == nil {
 		err := c.watch(ctx, address)
 		if ctx.Err() != nil {
@@ -80,7 +81,7 @@
 	if e.Index < current.Index {
 		return eris.Errorf("the member is at index %d, this entry at %d", e.Index, current.Index)
 	}
-	next, changed, err := current.with(e)
+	next, changed, err := c.with(current, e)
 	if err != nil {
 		c.config.Events.Error(event.StateNotUnderstood, err)
 		return err
@@ -98,15 +99,15 @@
 }
 
 // with returns the view after an event and whether anything but the index differs.
-func (v *View) with(e *fleetpb.WatchEvent) (*View, bool, error) {
+func (c *Client) with(v *View, e *fleetpb.WatchEvent) (*View, bool, error) {
 	next := *v
 	next.Index = e.Index
 	if !e.Reset_ && len(e.Objects)+len(e.DeletedObjects)+len(e.Sessions)+len(e.EndedSessions)+
-		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil {
+		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil && e.Document == nil {
 		return &next, false, nil
 	}
 	if e.Reset_ {
-		next = View{Index: e.Index, Config: config.NewSet()}
+		next = View{Index: e.Index, Config: config.NewSet(), Document: v.Document}
 	}
 	next.Revision = max(e.Revision, next.Revision)
 	if e.OrderLease != nil {
@@ -115,6 +116,9 @@
 	if err := next.configure(e); err != nil {
 		return nil, false, err
 	}
+	if err := c.readDocument(&next, e.Document); err != nil {
+		return nil, false, err
+	}
 	next.Sessions = cloned(next.Sessions)
 	for _, s := range e.Sessions {
 		next.Sessions[s.Id] = s
@@ -132,6 +136,22 @@
 	return &next, true, nil
 }
 
+// readDocument puts a newer document into the view.
+func (c *Client) readDocument(v *View, stored *fleetpb.Document) error {
+	if stored == nil || c.config.Decode == nil || v.Document != nil && stored.Version <= v.Document.Version {
+		return nil
+	}
+	next, err := c.config.Decode(stored.Data)
+	if err != nil {
+		return eris.Wrapf(err, "decode the accepted document %d", stored.Version)
+	}
+	v.Document = next
+	c.config.Events.Write(event.DocumentApplied, func(e *log.Entry) {
+		e.Uint64("version", next.Version).Uint64("index", v.Index).Int("routes", len(next.Routes)).Int("customers", len(next.Customers))
+	})
+	return nil
+}
+
 func cloned[K comparable, V any](m map[K]V) map[K]V {
 	if m == nil {
 		return map[K]V{}
--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -117,14 +116,9 @@
 	}
 }
 
-// limit returns the limit of a bucket, which is named after its customer, or its customer and profile.
+// limit returns the limit of a bucket in the newest view.
 func (n *Node) limit(bucket string) (config.Limit, bool) {
-	if n.view.Config == nil {
-		return config.Limit{}, false
-	}
-	customer, profile, _ := strings.Cut(bucket, "/")
-	name, l := n.view.Config.LimitFor(customer, profile)
-	return l, name == bucket && l.BurstTokens > 0
+	return n.view.Limit(bucket)
 }
 
 // Owner returns the session that owns a bucket, or 0.
--- /dev/null
+++ b/entry/place/place.go
@@ -0,0 +1,300 @@
+// Package place decides which upstream gets a request. It answers the heaviest load, a burst while some upstreams are
+// down or fail: each request goes where it is expected to be served first, upstreams that fail get less, and work that
+// cannot be served in time is refused at once. All functions take the time and return a decision; nothing here has
+// goroutines, clocks or sockets, or is safe for concurrent use.
+package place
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"time"
+)
+
+// Roles of upstreams.
+const (
+	// RoleAny is the role of plain services.
+	RoleAny     = ""
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+)
+
+// Upstream describes an upstream as it announced itself.
+type Upstream struct {
+	ID, Address, FailureDomain, Service, Role string
+	Incarnation                               uint64
+	// Accepts is false for an upstream that leaves. Heard is false when its announcements stopped.
+	Accepts, Heard bool
+	// Capacity bounds the work that this entry has running there, in the unit of Need.Work; 0 means no bound.
+	Capacity int
+}
+
+// Need describes what a request asks for.
+type Need struct {
+	Service, Role string
+	// Work is the size of the request: prompt tokens for engines, 1 for plain services. It is positive.
+	Work int
+	// FailureDomain is preferred among equals.
+	FailureDomain string
+	// Exclude lists IDs that were tried already.
+	Exclude []string
+}
+
+// Errors of Pick.
+var (
+	// ErrNone means that no upstream of the service accepts requests.
+	ErrNone = errors.New("no upstream of the service accepts requests")
+	// ErrBusy means that all upstreams of the service are at their capacity.
+	ErrBusy = errors.New("all upstreams of the service are busy")
+)
+
+// Outcome says how one attempt on an upstream ended.
+type Outcome int
+
+// Outcomes.
+const (
+	// Served means a whole answer of the upstream.
+	Served Outcome = iota
+	// Erred means a whole answer that reports a failure of the upstream.
+	Erred
+	// Refused means that the upstream rejected the request without running it.
+	Refused
+	// Broken means a reset, a cut or foreign answer, or none in time.
+	Broken
+	// Unreachable means that no connection came about.
+	Unreachable
+	// Replaced means that another process answers at the address.
+	Replaced
+	// Cancelled means that the caller went away; it says nothing of the upstream.
+	Cancelled
+)
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	return [...]string{"served", "erred", "refused", "broken", "unreachable", "replaced", "cancelled"}[o]
+}
+
+const (
+	// failureMemory is the time constant with which failures are forgotten, a few times the gap between requests to one
+	// upstream at rest.
+	failureMemory = 3 * time.Second
+	// failureGain is the weight of one outcome in the average: about five outcomes decide.
+	failureGain = 0.2
+	// failurePenalty makes an upstream that always fails as costly as one with that many more requests.
+	failurePenalty = 12
+	// farPenalty is the cost of another failure domain, small enough to decide among equals only.
+	farPenalty = 0.15
+	// ejectFirst is the first ejection; each further one doubles it up to ejectLongest, a little more than an upstream's
+	// restart takes.
+	ejectFirst   = 400 * time.Millisecond
+	ejectLongest = 3200 * time.Millisecond
+	// brokenInARow is how many broken answers in a row eject an upstream.
+	brokenInARow = 3
+	// unheardPenalty makes an upstream whose announcements stopped a last choice.
+	unheardPenalty = 50
+)
+
+type state struct {
+	Upstream
+	// running is the work under way, requests its number of requests.
+	running, requests int
+	// failing is the average of recent outcomes, 1 for a failure, at failedAt.
+	failing  float64
+	failedAt time.Time
+	row      int
+	// ejections counts those without a success in between.
+	ejections int
+	ejected   time.Time
+	// busyUntil is when the prompts that were sent are expected to be read.
+	busyUntil time.Time
+}
+
+func (s *state) failure(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+	return s.failing * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
+}
+
+// Table holds what this entry knows of all upstreams.
+type Table struct {
+	states map[string]*state
+	order  []string
+	// turn breaks ties in turn.
+	turn int
+	// speed is the observed reading speed of prompts by role, in tokens per millisecond.
+	speed map[string]float64
+}
+
+// NewTable returns an empty table. The turn makes entries begin at different upstreams.
+func NewTable(turn int) *Table {
+	return &Table{states: map[string]*state{}, turn: turn, speed: map[string]float64{}}
+}
+
+// Set replaces the upstreams. What is known of an incarnation is kept.
+func (t *Table) Set(upstreams []Upstream) {
+	next := map[string]*state{}
+	t.order = t.order[:0]
+	for _, u := range upstreams {
+		s := t.states[u.ID]
+		if s == nil || s.Incarnation != u.Incarnation || s.Address != u.Address {
+			s = &state{}
+		}
+		s.Upstream = u
+		next[u.ID] = s
+		t.order = append(t.order, u.ID)
+	}
+	slices.Sort(t.order)
+	t.states = next
+}
+
+// Pick chooses the upstream with the least expected cost and counts the work as running there. End must follow.
+func (t *Table) Pick(now time.Time, need Need) (Upstream, error) {
+	s, err := t.best(now, need)
+	if err != nil {
+		return Upstream{}, err
+	}
+	t.begin(now, s, need)
+	return s.Upstream, nil
+}
+
+func (t *Table) begin(now time.Time, s *state, need Need) {
+	t.turn++
+	s.running += need.Work
+	s.requests++
+	if speed := t.speedOf(s.Role); need.Work > 1 && speed > 0 {
+		from := s.busyUntil
+		if from.Before(now) {
+			from = now
+		}
+		s.busyUntil = from.Add(reading(need.Work, speed))
+	}
+}
+
+// best finds the cheapest upstream; ejected ones count only when there is no other.
+func (t *Table) best(now time.Time, need Need) (*state, error) {
+	var candidates []*state
+	accepting, lowest := 0, math.Inf(1)
+	for _, ejected := range []bool{false, true} {
+		for i := range t.order {
+			s := t.states[t.order[(i+t.turn)%len(t.order)]]
+			if s.Service != need.Service || s.Role != need.Role || !s.Accepts || slices.Contains(need.Exclude, s.ID) {
+				continue
+			}
+			if now.Before(s.ejected) != ejected {
+				continue
+			}
+			accepting++
+			if s.Capacity > 0 && s.requests > 0 && s.running+need.Work > s.Capacity {
+				continue
+			}
+			candidates = append(candidates, s)
+			lowest = min(lowest, s.failure(now))
+		}
+		if len(candidates) > 0 || ejected {
+			break
+		}
+		if accepting > 0 {
+			return nil, ErrBusy
+		}
+	}
+	if accepting == 0 {
+		return nil, ErrNone
+	}
+	if len(candidates) == 0 {
+		return nil, ErrBusy
+	}
+	var best *state
+	least := math.Inf(1)
+	for _, s := range candidates {
+		if cost := t.cost(now, s, need, lowest); cost < least {
+			best, least = s, cost
+		}
+	}
+	return best, nil
+}
+
+// cost is in units of the request's own work.
+func (t *Table) cost(now time.Time, s *state, need Need, lowest float64) float64 {
+	cost := 1 + float64(s.running)/float64(need.Work)
+	if ahead := s.busyUntil.Sub(now); ahead > 0 {
+		if speed := t.speedOf(s.Role); speed > 0 {
+			cost += float64(ahead) / float64(reading(need.Work, speed))
+		}
+	}
+	cost += failurePenalty * (s.failure(now) - lowest)
+	if s.FailureDomain != need.FailureDomain {
+		cost += farPenalty
+	}
+	if !s.Heard {
+		cost += unheardPenalty
+	}
+	return cost
+}
+
+// End takes the end of an attempt into account. It returns how long the upstream is ejected because of it, 0 for not.
+func (t *Table) End(now time.Time, u Upstream, need Need, outcome Outcome) time.Duration {
+	s := t.states[u.ID]
+	if s == nil || s.Incarnation != u.Incarnation {
+		return 0
+	}
+	s.running = max(0, s.running-need.Work)
+	s.requests = max(0, s.requests-1)
+	if s.requests == 0 {
+		s.busyUntil = time.Time{}
+	}
+	grade := map[Outcome]float64{Erred: 0.5, Refused: 0.7, Broken: 1, Unreachable: 1, Replaced: 1}
+	if outcome == Cancelled {
+		return 0
+	}
+	before := s.failure(now)
+	s.failing, s.failedAt = before+failureGain*(grade[outcome]-before), now
+	switch outcome {
+	case Served, Erred, Refused:
+		s.row, s.ejections = 0, 0
+		s.ejected = time.Time{}
+		return 0
+	case Broken:
+		if s.row++; s.row < brokenInARow {
+			return 0
+		}
+	default:
+	}
+	if now.Before(s.ejected) {
+		return 0
+	}
+	s.row = 0
+	d := min(ejectFirst<<min(s.ejections, 8), ejectLongest)
+	s.ejections++
+	s.ejected = now.Add(d)
+	return d
+}
+
+// Running returns the work and the number of requests under way at an upstream.
+func (t *Table) Running(id string) (work, requests int) {
+	if s := t.states[id]; s != nil {
+		return s.running, s.requests
+	}
+	return 0, 0
+}
+
+// Known says whether the service has any upstream that accepts requests.
+func (t *Table) Known(service string) bool {
+	for _, s := range t.states {
+		if s.Service == service && s.Accepts {
+			return true
+		}
+	}
+	return false
+}
+
+// Count returns the number of upstreams that accept requests and were heard.
+func (t *Table) Count(service, role string) int {
+	n := 0
+	for _, s := range t.states {
+		if s.Service == service && s.Role == role && s.Accepts && s.Heard {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -52,10 +52,30 @@
 	own               counts
 	requests, retries uint64
 	peers             map[uint64]*peer
+	floor             uint64
 }
 
 // New returns an empty budget.
-func New() *Budget { return &Budget{peers: map[uint64]*peer{}} }
+func New() *Budget { return WithFloor(floor) }
+
+// WithFloor returns an empty budget of which the whole fleet may use a number of retries in a window however few
+// requests there were.
+func WithFloor(retries int) *Budget {
+	return &Budget{peers: map[uint64]*peer{}, floor: uint64(max(1, retries))}
+}
+
+// AllowOwn takes one retry from this entry's part of the budget, without what peers report: percent of its own requests,
+// and an equal part of the floor. All entries together stay within the budget whatever they know of each other.
+func (b *Budget) AllowOwn(now time.Time, percent float64, entries int) bool {
+	b.own.advance(index(now))
+	requests, retries := b.own.sums()
+	if float64(retries+1) > float64(requests)*percent/100+float64(b.floor)/float64(max(1, entries)) {
+		return false
+	}
+	b.own.retries[b.own.at%slots]++
+	b.retries++
+	return true
+}
 
 func index(now time.Time) int64 { return now.UnixNano() / int64(slot) }
 
@@ -107,7 +127,7 @@
 		requests += q
 		retries += r + recent
 	}
-	if (retries+1)*100 > requests*uint64(percent) && own >= max(1, floor/uint64(len(b.peers)+1)) {
+	if (retries+1)*100 > requests*uint64(percent) && own >= max(1, b.floor/uint64(len(b.peers)+1)) {
 		return false
 	}
 	b.own.retries[b.own.at%slots]++
--- a/entry/caller/conn.go
+++ b/entry/tcp/tcp.go
@@ -1,4 +1,6 @@
-package caller
+// Package tcp holds callers' connections: it bounds writes, notices a caller that hangs up, and makes the kernel give up
+// on peers that vanished.
+package tcp
 
 import (
 	"errors"
@@ -20,32 +22,33 @@
 	lingerBytes = 4 << 20
 )
 
-// listener accepts callers' connections and tunes them.
-type listener struct {
+// Listener accepts callers' connections and tunes them.
+type Listener struct {
 	net.Listener
-	write time.Duration
+	// WriteTimeout bounds how long a caller may read nothing of an answer.
+	WriteTimeout time.Duration
 
 	mu   sync.Mutex
-	open map[*callerConn]bool
+	open map[*Conn]bool
 }
 
-func (l *listener) add(c *callerConn) {
+func (l *Listener) add(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open == nil {
-		l.open = map[*callerConn]bool{}
+		l.open = map[*Conn]bool{}
 	}
 	l.open[c] = true
 }
 
-func (l *listener) remove(c *callerConn) {
+func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
 }
 
-// closeAll closes the connections that are still open.
-func (l *listener) closeAll() {
+// CloseAll closes the connections that are still open.
+func (l *Listener) CloseAll() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
@@ -54,7 +57,7 @@
 }
 
 // Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
@@ -64,22 +67,20 @@
 		if !ok {
 			return nil, fmt.Errorf("listener accepts %T, want TCP connections", c)
 		}
-		if err := tune(tcp, l.write); err != nil {
+		keepAlive := net.KeepAliveConfig{Enable: true, Idle: l.WriteTimeout / 2, Interval: max(l.WriteTimeout/6, time.Second), Count: 3}
+		if err := errors.Join(tcp.SetKeepAliveConfig(keepAlive), SetUserTimeout(tcp, l.WriteTimeout)); err != nil {
+			// The caller has reset the connection already.
 			_ = c.Close()
 			continue
 		}
-		accepted := &callerConn{TCPConn: tcp, listener: l, write: l.write}
+		accepted := &Conn{TCPConn: tcp, listener: l, write: l.WriteTimeout}
 		l.add(accepted)
 		return accepted, nil
 	}
 }
 
-// tune bounds how long a caller that vanished without a word keeps its connection.
-func tune(c *net.TCPConn, bound time.Duration) error {
-	keepAlive := net.KeepAliveConfig{Enable: true, Idle: bound / 2, Interval: max(bound/6, time.Second), Count: 3}
-	if err := c.SetKeepAliveConfig(keepAlive); err != nil {
-		return fmt.Errorf("set keepalive: %w", err)
-	}
+// SetUserTimeout makes the kernel end a connection whose sent bytes are not acknowledged within the bound.
+func SetUserTimeout(c *net.TCPConn, bound time.Duration) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("get descriptor: %w", err)
@@ -96,17 +97,18 @@
 	return nil
 }
 
-// callerConn is a caller's connection with a bound on each write.
-type callerConn struct {
+// Conn is a caller's connection with a bound on each write.
+type Conn struct {
 	*net.TCPConn
-	listener *listener
+	listener *Listener
 	write    time.Duration
 	until    time.Time
-	linger   bool
+	// Linger is set when a request was refused before its end: Close then reads on for a while.
+	Linger bool
 }
 
 // Write implements net.Conn. It fails when the caller reads nothing for the bound.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	// Deadlines are renewed in steps, because setting one costs more than a comparison.
 	if now := time.Now(); c.until.Sub(now) < c.write {
 		c.until = now.Add(c.write * 5 / 4)
@@ -118,18 +120,18 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	defer c.listener.remove(c)
-	if c.linger && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+	if c.Linger && c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
 		// Whatever ends the reading, the connection is closed next.
 		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 	}
 	return c.TCPConn.Close() //nolint:wrapcheck // the server compares it
 }
 
-// watch calls gone once when the caller closes or resets the connection before stop is called. Nobody may read
+// Watch calls gone once when the caller closes or resets the connection before stop is called. Nobody may read
 // from the connection in between. stop returns when the watch has ended.
-func (c *callerConn) watch(group *errgroup.Group, gone func()) (stop func()) {
+func (c *Conn) Watch(group *errgroup.Group, gone func()) (stop func()) {
 	raw, err := c.SyscallConn()
 	if err == nil {
 		// The deadline of the request's header and body must not end the watch.
--- /dev/null
+++ b/entry/web/request.go
@@ -0,0 +1,213 @@
+package web
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
+	"azuredoor.example/entry/http1"
+	"azuredoor.example/entry/limit"
+	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/relay"
+)
+
+// request is one request on its way through the router.
+type request struct {
+	router *Router
+	x      *http1.Exchange
+	call   Call
+	// ctx ends when the caller hangs up or the time is over.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	document *document.Document
+	// age is that of the view when the request was authorised.
+	age      time.Duration
+	route    *document.Route
+	customer *document.Customer
+	service  string
+	// deadline is when the caller or the route's timeout ends the request, whichever is first.
+	deadline time.Time
+	need     place.Need
+
+	charged int64
+	mark    limit.Mark
+	// runs counts the sends that may have run, sends all that were written to an upstream.
+	runs, sends int
+	// ran is set when an upstream may have begun to work on the request.
+	ran bool
+	log trace
+}
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	// reason says why, in words for callers and logs.
+	reason     string
+	retryAfter time.Duration
+}
+
+const (
+	// startRetry is when a caller may return to an entry that knows no configuration yet, or none that is fresh.
+	startRetry = 500 * time.Millisecond
+	// busyRetry is when a caller may return after all upstreams were busy: a few service times.
+	busyRetry = 200 * time.Millisecond
+	// defaultPatience bounds a request whose caller states none.
+	defaultPatience = 30 * time.Second
+	// answerMargin is kept from the time that upstreams get, so that the answer reaches the caller in time.
+	answerMargin = 15 * time.Millisecond
+	// queueShare is the part of the target that a request may wait for tokens or a busy service.
+	queueShare = 0.7
+)
+
+func (q *request) findDocument() *refusal {
+	q.document = q.router.config.Control.View().Document
+	q.age = q.router.config.Control.Age()
+	if q.document == nil {
+		return &refusal{fasthttp.StatusServiceUnavailable, "this entry has no configuration yet", startRetry}
+	}
+	return nil
+}
+
+// findRoute refuses a request without a route. While the view is not fresh the route may have been added meanwhile, so
+// that the refusal leaves the question open.
+func (q *request) findRoute() *refusal {
+	h := &q.x.Request.Header
+	path := string(h.RequestURI())
+	for i := range len(path) {
+		if path[i] == '?' {
+			path = path[:i]
+			break
+		}
+	}
+	if q.route = q.document.Route(string(h.Host()), path); q.route != nil {
+		return nil
+	}
+	if q.age > q.router.config.FreshFor {
+		return q.stale()
+	}
+	return &refusal{fasthttp.StatusNotFound, "no route matches the host and path", 0}
+}
+
+func (q *request) stale() *refusal {
+	return &refusal{fasthttp.StatusServiceUnavailable, "this entry cannot confirm that its configuration is current", startRetry}
+}
+
+func (q *request) findCustomer() *refusal {
+	if q.route.Open || len(q.document.Customers) == 0 {
+		return nil
+	}
+	if q.age > q.router.config.FreshFor {
+		return q.stale()
+	}
+	if q.customer = q.document.Holder(q.call.Key); q.customer == nil {
+		return &refusal{fasthttp.StatusUnauthorized, "the access key is missing or unknown", 0}
+	}
+	return nil
+}
+
+// bound sets the end of the request and chooses its service.
+func (q *request) bound() *refusal {
+	patience := q.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	q.deadline = q.x.Arrived.Add(min(patience, q.route.Timeout) - answerMargin)
+	q.ctx, q.cancel = context.WithDeadline(q.x.Context, q.deadline)
+	q.service = q.route.Service(rand.Uint64())
+	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
+	if s := q.document.Services[q.service]; s.Engine != nil {
+		q.need.Role = place.RoleDecode
+		q.need.Work = max(1, q.call.PromptTokens+q.call.MaxTokens)
+	}
+	return nil
+}
+
+// charge takes the request's tokens from its customer's bucket.
+func (q *request) charge() *refusal {
+	if q.customer == nil || q.customer.Limit.BurstTokens <= 0 {
+		return nil
+	}
+	tokens := int64(q.call.PromptTokens + q.call.MaxTokens)
+	if !q.call.HasTokens {
+		tokens = q.customer.RequestTokens
+	}
+	wait := time.Duration(float64(q.route.Target) * queueShare)
+	mark, err := q.router.config.Limiter.Take(q.ctx, &relay.Request{
+		ID: q.call.ID, Customer: q.customer.Name, Bucket: q.customer.Name, Limit: q.customer.Limit, Charge: tokens, Arrived: q.x.Arrived,
+		Profile: &config.Profile{QueueTimeout: config.Duration(wait), FirstTokenTarget: config.Duration(wait)},
+	})
+	var rejected *relay.Rejection
+	switch {
+	case err == nil:
+		q.charged, q.mark = tokens, mark
+		return nil
+	case errors.As(err, &rejected):
+		return &refusal{rejected.Status, rejected.Text, rejected.RetryAfter}
+	default:
+		return q.timedOut()
+	}
+}
+
+// refund gives the tokens of a request back that has not run.
+func (q *request) refund() {
+	if q.charged > 0 && !q.ran {
+		q.router.config.Limiter.Refund(q.customer.Name, q.customer.Limit, q.mark, q.charged)
+		q.charged = 0
+	}
+}
+
+// timedOut is the refusal at the deadline. It promises that the request has not run where that is so.
+func (q *request) timedOut() *refusal {
+	if q.ran {
+		return &refusal{fasthttp.StatusGatewayTimeout, "no whole answer came in time", 0}
+	}
+	return &refusal{fasthttp.StatusServiceUnavailable, "the request could not be passed on in time", busyRetry}
+}
+
+// refuse answers the caller, unless it is gone or the answer has begun.
+func (q *request) refuse(r *refusal) {
+	q.log.reason = r.reason
+	q.refund()
+	if q.callerGone() {
+		return
+	}
+	if q.x.Begun() {
+		return
+	}
+	q.x.Refuse(r.status, r.reason, r.retryAfter)
+}
+
+func (q *request) callerGone() bool {
+	return q.ctx != nil && errors.Is(context.Cause(q.x.Context), http1.ErrCallerGone)
+}
+
+// idempotent says whether the request may run more than once.
+func (q *request) idempotent() bool { return q.route.RepeatRule == config.Idempotent }
+
+// maySendAgain says whether another upstream may get the request after a send that failed.
+func (q *request) maySendAgain() bool {
+	if q.ctx.Err() != nil || q.runs >= q.route.Attempts || q.ran && !q.idempotent() {
+		return false
+	}
+	return q.sends == 0 || q.router.allowRepeat(q.service)
+}
+
+// unavailable is the refusal of a request that found no upstream.
+func (q *request) unavailable(err error) *refusal {
+	switch {
+	case q.ctx.Err() != nil:
+		return q.timedOut()
+	case q.ran:
+		return &refusal{fasthttp.StatusBadGateway, "an upstream failed, and no other could take over", 0}
+	case errors.Is(err, place.ErrNone):
+		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", startRetry}
+	default:
+		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service are busy", busyRetry}
+	}
+}
--- /dev/null
+++ b/entry/web/router.go
@@ -0,0 +1,223 @@
+package web
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
+	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/metric"
+	"azuredoor.example/entry/conn"
+	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/http1"
+	"azuredoor.example/entry/limit"
+	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/relay"
+	"azuredoor.example/entry/retry"
+)
+
+// Limiter charges customers' token buckets.
+type Limiter interface {
+	Take(ctx context.Context, r *relay.Request) (limit.Mark, error)
+	Refund(bucket string, l config.Limit, mark limit.Mark, tokens int64)
+}
+
+// Control is what the router knows of the control group.
+type Control interface {
+	// View is never nil.
+	View() *control.View
+	// Age is how old the proof is that the view was current.
+	Age() time.Duration
+}
+
+// Config configures a Router.
+type Config struct {
+	Codec   Codec
+	Control Control
+	Limiter Limiter
+	Pool    *conn.Pool
+	// FailureDomain is that of this VM.
+	FailureDomain string
+	// FreshFor is the largest age of the view at which a key is accepted.
+	FreshFor time.Duration
+	// RetryPercent is the share of a service's requests that may be sent again; RetryFloor is how many more the whole
+	// fleet may send again in retry.Window.
+	RetryPercent float64
+	RetryFloor   int
+	Metrics      *metric.Requests
+	Events       *event.Logger
+	// Background runs work that outlives its request.
+	Background *errgroup.Group
+}
+
+// Router serves callers. It is safe for concurrent use.
+type Router struct {
+	config Config
+
+	mu      sync.Mutex
+	table   *place.Table
+	budgets map[string]*retry.Budget
+	// freed is closed and replaced when an attempt ends or the upstreams change.
+	freed chan struct{}
+	// addresses and entries follow the view.
+	entries int
+}
+
+// New returns a router without upstreams.
+func New(c Config) *Router {
+	return &Router{
+		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{}, freed: make(chan struct{}), entries: 1,
+	}
+}
+
+// OnChange follows the view.
+func (r *Router) OnChange(view *control.View) {
+	upstreams := make([]place.Upstream, 0, len(view.Upstreams))
+	for _, u := range view.Upstreams {
+		if u.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN && gone(view, u) {
+			continue
+		}
+		one := place.Upstream{
+			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
+			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING, Heard: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
+			Capacity: int(u.Slots) * plainQueue,
+		}
+		if view.Document != nil {
+			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
+				one.Capacity = int(float64(s.Engine.CacheTokens) * engineShare)
+			}
+		}
+		upstreams = append(upstreams, one)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Set(upstreams)
+	r.entries = max(1, len(view.Sessions))
+	r.wake()
+}
+
+const (
+	// plainQueue is how many requests for each slot of a plain upstream this entry sends before it waits: upstreams queue a
+	// few more than they run.
+	plainQueue = 2
+	// engineShare is the part of an engine's memory that this entry fills before it waits; other entries use the rest.
+	engineShare = 0.6
+)
+
+// gone says whether an upstream that fell silent has ended for good: another one has its address, or it said so.
+func gone(view *control.View, u *fleetpb.Upstream) bool {
+	if u.Sequence == withdrawn {
+		return true
+	}
+	for _, other := range view.Upstreams {
+		if other.Id != u.Id && other.Address == u.Address && other.State != fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
+			return true
+		}
+	}
+	return false
+}
+
+// withdrawn is the sequence of an upstream that left for good.
+const withdrawn = ^uint64(0)
+
+// wake tells waiting requests that something changed. The caller holds the lock.
+func (r *Router) wake() {
+	close(r.freed)
+	r.freed = make(chan struct{})
+}
+
+// Ready says whether the router can serve callers.
+func (r *Router) Ready() bool {
+	return r.config.Control.View().Document != nil && r.config.Control.Age() < r.config.FreshFor
+}
+
+// allowRepeat takes one repeated send from the budget of a service.
+func (r *Router) allowRepeat(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).AllowOwn(time.Now(), r.config.RetryPercent, r.entries)
+}
+
+func (r *Router) countRequest(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).Request(time.Now())
+}
+
+func (r *Router) budget(service string) *retry.Budget {
+	b := r.budgets[service]
+	if b == nil {
+		b = retry.WithFloor(r.config.RetryFloor)
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// connections returns this entry's part of the bound on connections to one upstream.
+func (r *Router) connections(s *document.Service) int {
+	if s == nil || s.Connections == 0 {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(1, s.Connections/r.entries)
+}
+
+// pick chooses an upstream. While all are busy it waits until the time given.
+func (r *Router) pick(ctx context.Context, need place.Need, until time.Time) (place.Upstream, error) {
+	for {
+		r.mu.Lock()
+		u, err := r.table.Pick(time.Now(), need)
+		freed := r.freed
+		r.mu.Unlock()
+		left := time.Until(until)
+		if !errors.Is(err, place.ErrBusy) || left <= 0 {
+			return u, err
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-freed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return u, context.Cause(ctx)
+		}
+		timer.Stop()
+	}
+}
+
+// end counts the end of an attempt.
+func (r *Router) end(u place.Upstream, need place.Need, outcome place.Outcome) {
+	r.mu.Lock()
+	ejected := r.table.End(time.Now(), u, need, outcome)
+	r.wake()
+	r.mu.Unlock()
+	if ejected > 0 {
+		r.logEjected(u, outcome, ejected)
+	}
+}
+
+// Serve implements http1.Handler.
+func (r *Router) Serve(x *http1.Exchange) {
+	q := &request{router: r, x: x, call: r.config.Codec.ReadCall(&x.Request.Header), log: trace{began: time.Now()}}
+	defer q.finish()
+	for _, filter := range []func() *refusal{q.findDocument, q.findRoute, q.findCustomer, q.bound, q.charge} {
+		if refused := filter(); refused != nil {
+			q.refuse(refused)
+			return
+		}
+	}
+	r.countRequest(q.service)
+	if q.route.Stream {
+		q.stream()
+	} else {
+		q.plain()
+	}
+}
--- /dev/null
+++ b/entry/web/stream.go
@@ -0,0 +1,324 @@
+package web
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"azuredoor.example/entry/place"
+)
+
+const (
+	// streamStall is the longest pause in a stream before another upstream takes over: well beyond the pause that callers
+	// notice, and below the one at which they leave.
+	streamStall = 1200 * time.Millisecond
+	// firstEventSlack is added to twice the expected time to the first event before another upstream takes over.
+	firstEventSlack = 300 * time.Millisecond
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+	// freeTimeout bounds the call that frees a prefill's result.
+	freeTimeout = 500 * time.Millisecond
+	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
+	prefillSlack = 250 * time.Millisecond
+)
+
+// errCut means that a stream ended before its last event.
+var errCut = errors.New("the stream ended in the middle of an event")
+
+// stream serves a request whose answer is an event stream.
+func (q *request) stream() {
+	last := ""
+	direct := false
+	for tries := 0; ; tries++ {
+		s, refused := q.open(last, direct)
+		if refused != nil {
+			q.refuse(refused)
+			return
+		}
+		if s.err == nil && s.outcome == place.Served && s.response.StatusCode() < 300 {
+			done := q.relay(s, &last)
+			q.count(s)
+			s.release()
+			if done || q.callerGone() {
+				return
+			}
+		} else {
+			q.count(s)
+			whole := s.err == nil && !s.notRun()
+			if whole && last == "" && (s.response.StatusCode() < fasthttp.StatusInternalServerError || !q.idempotent()) {
+				q.passWhole(s)
+				return
+			}
+			if whole && last == "" && !q.maySendAgain() {
+				q.passWhole(s)
+				return
+			} else if whole && last == "" {
+				s.release()
+				direct = true
+				q.exclude(s.upstream)
+				continue
+			}
+			retry := s.marks.RetryAfter
+			s.release()
+			if q.ctx.Err() == nil && !q.ran && tries >= maxRefused {
+				q.refuse(&refusal{fasthttp.StatusServiceUnavailable, "no upstream took the request", max(retry, busyRetry)})
+				return
+			}
+		}
+		direct = true
+		if tries >= maxRefused || !q.maySendAgain() {
+			q.refuse(q.unavailable(place.ErrBusy))
+			return
+		}
+		q.exclude(s.upstream)
+	}
+}
+
+func (q *request) exclude(u place.Upstream) {
+	if len(q.need.Exclude) < q.otherUpstreams() {
+		q.need.Exclude = append(q.need.Exclude, u.ID)
+	}
+}
+
+// passWhole passes on a response to a stream's request that is no stream.
+func (q *request) passWhole(s *send) {
+	defer s.release()
+	body, err := io.ReadAll(io.LimitReader(s.body, maxAnswerBytes))
+	if err != nil {
+		q.refuse(&refusal{fasthttp.StatusBadGateway, "the upstream's answer was cut", 0})
+		return
+	}
+	s.response.Header.SetContentLength(len(body))
+	if promises(s.response.StatusCode()) && !s.notRun() && !q.idempotent() {
+		q.refuse(&refusal{fasthttp.StatusBadGateway, "the upstream failed", 0})
+		return
+	}
+	if err := q.x.Whole(&s.response.Header, body); err != nil {
+		q.log.reason = err.Error()
+	}
+}
+
+// open sends the request to a decode engine, after a prefill engine where that is faster.
+func (q *request) open(last string, direct bool) (*send, *refusal) {
+	f := Forwarding{LastEvent: last}
+	forecast, err := q.forecast()
+	if err == nil && last == "" && !q.ran && forecast.Best() > time.Until(q.deadline) {
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, "the engines cannot serve the request in time", forecast.Best() - time.Until(q.deadline)}
+	}
+	if err == nil && !direct && q.need.Role == place.RoleDecode && forecast.Separate() {
+		f.Source, f.Handle = q.prefill(forecast)
+	}
+	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * queueShare))
+	u, err := q.router.pick(q.ctx, q.need, until)
+	if err != nil {
+		q.free(f)
+		return nil, q.unavailable(err)
+	}
+	s := q.send(u, q.need, f, q.firstBound(forecast), true)
+	if s.outcome != place.Served {
+		q.free(f)
+	}
+	return s, nil
+}
+
+func (q *request) forecast() (place.Forecast, error) {
+	q.router.mu.Lock()
+	defer q.router.mu.Unlock()
+	return q.router.table.Forecast(time.Now(), q.need)
+}
+
+// firstBound is how long to wait for the response and its first event.
+func (q *request) firstBound(forecast place.Forecast) time.Duration {
+	left := max(time.Millisecond, time.Until(q.deadline))
+	if q.idempotent() && q.runs+1 < q.route.Attempts {
+		return min(left, 2*forecast.Direct+firstEventSlack)
+	}
+	return left
+}
+
+// prefill lets a prefill engine read the prompt. It returns empty strings when that failed; the decode engine then reads
+// the prompt itself.
+func (q *request) prefill(forecast place.Forecast) (source, handle string) {
+	need := q.need
+	need.Role, need.Exclude = place.RolePrefill, nil
+	u, err := q.router.pick(q.ctx, need, time.Now())
+	if err != nil {
+		return "", ""
+	}
+	bound := min(max(time.Millisecond, time.Until(q.deadline)), 3*forecast.Split+prefillSlack)
+	s := q.send(u, need, Forwarding{Prefill: true}, bound, false)
+	defer s.release()
+	if s.err == nil && s.outcome == place.Served && s.response.StatusCode() == fasthttp.StatusOK {
+		if handle, err = q.router.config.Codec.ReadHandle(s.response.Body()); err != nil {
+			s.outcome, s.err = place.Broken, err
+		}
+	} else if s.outcome == place.Served {
+		s.outcome = place.Erred
+	}
+	q.router.end(u, need, s.outcome)
+	q.log.add(s)
+	if handle == "" {
+		// A prefill that was sent counts as a send; one that was accepted does not.
+		if s.written {
+			q.sends++
+		}
+		return "", ""
+	}
+	q.router.observeRead(place.RolePrefill, q.call.PromptTokens, time.Since(s.began))
+	return u.Address, handle
+}
+
+func (r *Router) observeRead(role string, tokens int, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.ObserveRead(role, tokens, took)
+}
+
+// free drops a prefill's result that no engine took.
+func (q *request) free(f Forwarding) {
+	if f.Handle == "" {
+		return
+	}
+	r := q.router
+	r.config.Background.Go(func() error {
+		out, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(out)
+		defer fasthttp.ReleaseResponse(response)
+		r.config.Codec.FreeHandle(out, f.Handle)
+		out.Header.SetHost(f.Source)
+		r.freeHandle(out, response, f.Source)
+		return nil
+	})
+}
+
+// relay passes the events of an upstream on to the caller. Last is the ID of the last event that was passed on. It
+// returns true when the answer is complete.
+func (q *request) relay(s *send, last *string) bool {
+	reader := bufio.NewReaderSize(s.body, 8<<10)
+	first := true
+	if q.idempotent() && q.runs+1 < q.route.Attempts {
+		s.body.Until(s.began.Add(q.firstBound(place.Forecast{Direct: q.route.Target / 3})))
+	} else {
+		s.body.Until(q.deadline)
+	}
+	for {
+		event, err := readEvent(reader)
+		if err != nil {
+			return q.endRelay(s, err)
+		}
+		if first {
+			first = false
+			if *last == "" && q.log.firstEvent == 0 {
+				q.log.firstEvent = time.Since(q.x.Arrived)
+			}
+			s.body.Until(time.Time{})
+		}
+		id := eventID(event)
+		if id != "" && !newer(id, *last) {
+			continue
+		}
+		if !q.x.Begun() {
+			if err := q.x.Begin(&s.response.Header); err != nil {
+				return q.endRelay(s, err)
+			}
+		}
+		for reader.Buffered() > 0 && id != "" {
+			more, ok := bufferedEvent(reader)
+			if !ok {
+				break
+			}
+			event = append(event, more...)
+			id = orElse(eventID(more), id)
+		}
+		if err := q.x.Part(event); err != nil {
+			s.err = err
+			return q.endRelay(s, err)
+		}
+		q.log.events++
+		if id != "" {
+			*last = id
+		}
+	}
+}
+
+// endRelay judges the end of a stream.
+func (q *request) endRelay(s *send, err error) bool {
+	switch {
+	case err == io.EOF: //nolint:errorlint // readEvent returns io.EOF bare
+		if !q.x.Begun() {
+			if err := q.x.Begin(&s.response.Header); err != nil {
+				return false
+			}
+		}
+		if err := q.x.End(); err != nil {
+			q.log.reason = err.Error()
+		}
+		return true
+	case q.x.Context.Err() != nil:
+		s.outcome, s.err = place.Cancelled, err
+	default:
+		s.outcome, s.err = place.Broken, err
+	}
+	return false
+}
+
+// readEvent reads up to the blank line that ends an event. It returns io.EOF only between events.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
+			continue
+		case err == io.EOF && len(event) == 0: //nolint:errorlint // bufio returns io.EOF bare
+			return nil, io.EOF
+		case err == io.EOF: //nolint:errorlint // bufio returns io.EOF bare
+			return nil, errCut
+		case err != nil:
+			return nil, eris.Wrap(err, "read an event")
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, nil
+		}
+	}
+}
+
+// bufferedEvent returns the next event if it has arrived as a whole.
+func bufferedEvent(r *bufio.Reader) ([]byte, bool) {
+	// Peeking at what is buffered never fails.
+	data, _ := r.Peek(r.Buffered())
+	end := bytes.Index(data, []byte("\n\n"))
+	if end < 0 {
+		return nil, false
+	}
+	event := bytes.Clone(data[:end+2])
+	_, _ = r.Discard(len(event))
+	return event, true
+}
+
+// eventID returns the value of an event's id field, empty when it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
+// newer says whether an event's ID comes after another one. IDs that are no numbers only differ.
+func newer(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
--- /dev/null
+++ b/entry/web/trace.go
@@ -0,0 +1,122 @@
+package web
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"azuredoor.example/core/event"
+	"azuredoor.example/entry/conn"
+	"azuredoor.example/entry/place"
+)
+
+// trace is what the log says of one request.
+type trace struct {
+	began      time.Time
+	firstEvent time.Duration
+	events     int
+	reason     string
+	sends      []string
+}
+
+// add notes one send: the upstream, its part, how it ended and after how many milliseconds.
+func (t *trace) add(s *send) {
+	var b strings.Builder
+	b.WriteString(s.upstream.ID)
+	if s.need.Role != "" {
+		b.WriteString("/" + s.need.Role)
+	}
+	b.WriteString(" " + s.outcome.String())
+	if s.response != nil && s.err == nil {
+		b.WriteString(" " + strconv.Itoa(s.response.StatusCode()))
+	}
+	b.WriteString(" after " + time.Since(s.began).Round(time.Millisecond).String())
+	if s.err != nil {
+		b.WriteString(": " + s.err.Error())
+	}
+	t.sends = append(t.sends, b.String())
+}
+
+// finish logs and measures the request.
+func (q *request) finish() {
+	if q.cancel != nil {
+		q.cancel()
+	}
+	q.refund()
+	outcome := "ok"
+	switch status := q.x.Status(); {
+	case !q.x.Complete() && q.callerGone():
+		outcome = "callerGone"
+	case !q.x.Complete():
+		outcome = "cut"
+	case status >= fasthttp.StatusBadRequest:
+		outcome = statusClass(status)
+	}
+	customer, class := "", ""
+	if q.customer != nil {
+		customer = q.customer.Name
+	}
+	if q.route != nil {
+		class = q.route.Name
+	}
+	series := q.router.config.Metrics.For(customer, class)
+	series.Outcome(outcome)
+	took := time.Since(q.x.Arrived)
+	series.Whole.RecordDuration(took)
+	if q.log.firstEvent > 0 {
+		series.FirstToken.RecordDuration(q.log.firstEvent)
+	}
+	q.router.config.Events.Write(event.RequestEnded, func(e *log.Entry) {
+		e.Str("request", q.call.ID).Str("route", class).Str("customer", customer).Str("service", q.service).
+			Str("outcome", outcome).Int("status", q.x.Status()).Int64("ms", took.Milliseconds()).Str("sends", strings.Join(q.log.sends, "; ")).
+			Int64("viewAgeMs", q.age.Milliseconds()).Int64("patienceMs", q.call.Patience.Milliseconds())
+		if q.document != nil {
+			e.Uint64("documentVersion", q.document.Version)
+		}
+		if q.route != nil && q.route.Stream {
+			e.Int("events", q.log.events).Int64("firstEventMs", q.log.firstEvent.Milliseconds()).Str("lastEvent", q.call.LastEvent)
+		}
+		if q.need.Work > 1 {
+			e.Int("tokens", q.need.Work)
+		}
+		if q.log.reason != "" {
+			e.Str("reason", q.log.reason)
+		}
+	})
+}
+
+// statusClass names a failure by its status for counters.
+func statusClass(status int) string {
+	switch status {
+	case fasthttp.StatusUnauthorized, fasthttp.StatusNotFound:
+		return "notAllowed"
+	case fasthttp.StatusTooManyRequests:
+		return "overLimit"
+	case fasthttp.StatusServiceUnavailable:
+		return "unavailable"
+	case fasthttp.StatusGatewayTimeout:
+		return "timeout"
+	case fasthttp.StatusBadGateway:
+		return "upstreamFailed"
+	}
+	return "failed"
+}
+
+func (r *Router) logEjected(u place.Upstream, outcome place.Outcome, d time.Duration) {
+	r.config.Events.Write(event.UpstreamEjected, func(e *log.Entry) {
+		e.Str("upstream", u.ID).Uint64("incarnation", u.Incarnation).Str("address", u.Address).Str("outcome", outcome.String()).Int64("ms", d.Milliseconds())
+	})
+}
+
+// freeHandle calls the engine that keeps a prefill's result. A result that is not freed ends by itself.
+func (r *Router) freeHandle(out *fasthttp.Request, response *fasthttp.Response, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := r.config.Pool.Do(ctx, conn.Call{Address: address, Request: out, Reuse: true}, response); err != nil {
+		r.config.Events.Write(event.HandleNotFreed, func(e *log.Entry) { e.Str("address", address).Err(err) })
+	}
+}
