Limit customers by an exchange of use between entries

Each entry now keeps a copy of the bucket, admits at once while the level is above 0, and pays back what others report.

--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -26,8 +26,7 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/http1"
-	"azuredoor.example/entry/peer"
-	full "azuredoor.example/entry/policy"
+	"azuredoor.example/entry/usage"
 	"azuredoor.example/entry/web"
 )
 
@@ -146,8 +145,7 @@
 	events  *event.Logger
 	metrics *metric.Root
 	fleet   *control.Client
-	node    *peer.Node
-	tokens  *full.Tokens
+	limiter *usage.Limiter
 	router  *web.Router
 	callers *http1.Server
 	pool    *conn.Pool
@@ -195,7 +193,7 @@
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
-			e.drain(ctx)
+			e.drain()
 		case <-ctx.Done():
 		}
 		cancel()
@@ -223,19 +221,12 @@
 		Members: members, Reseed: func() []string { return *e.seeds.Load() }, Decode: c.Decode, Dialer: dialer, Events: events,
 		FreshnessBound: fresh,
 	})
-	session := func() uint64 {
-		id, _ := e.fleet.SessionID()
-		return id
-	}
-	e.node = peer.New(peer.Config{
-		Session: session, LeaseValid: e.fleet.SessionValid, View: e.fleet.View, Fresh: e.fleet.SessionFirst, Dialer: dialer, Events: events,
-	})
-	e.tokens = full.NewTokens(full.Config{Session: session, LeaseValid: e.fleet.SessionValid, View: e.fleet.View, Peers: e.node})
+	e.limiter = usage.New(e.fleet, dialer)
 	e.pool = conn.NewPool(conn.Options{
 		Connect: upstreamConnect, Unacknowledged: upstreamUnacked, Idle: upstreamIdle, KeepAlive: upstreamKeep,
 	})
 	e.router = web.New(web.Config{
-		Codec: c.Codec, Control: e.fleet, Limiter: e.tokens, Pool: e.pool, FailureDomain: c.FailureDomain, FreshFor: fresh,
+		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain, FreshFor: fresh,
 		RetryPercent: c.RetryRatio * retryPart * 100, RetryFloor: int(float64(c.RetrySlack) * retryPart),
 		Metrics: metric.NewRequests(e.metrics.Scope), Events: events, Background: &e.background,
 	})
@@ -272,13 +263,12 @@
 		return eris.Wrapf(err, "listen on %s:%s", e.config.IP, port)
 	}
 	server := fleetrpc.NewServer(e.config.Fleet, e.events)
-	fleetpb.RegisterPeerServer(server, e.node.Server())
+	fleetpb.RegisterPeerServer(server, e.limiter)
 	monitor := &fasthttp.Server{
 		Handler: e.monitor, NoDefaultServerHeader: true, ReadTimeout: webTimeout, IdleTimeout: webIdle, CloseOnShutdown: true,
 	}
 	group.Go(func() error { return e.fleet.Run(ctx) })
-	group.Go(func() error { return e.tokens.Run(ctx) })
-	group.Go(func() error { return e.node.Run(ctx) })
+	group.Go(func() error { return e.limiter.Run(ctx) })
 	group.Go(func() error { return e.callers.Serve(callers) })
 	group.Go(func() error { return server.Serve(peers) })
 	for _, address := range []string{e.config.ReadyListen, e.config.MetricsListen} {
@@ -318,7 +308,7 @@
 }
 
 // drain ends readiness at once and serves open connections until they are closed or the grace period nears its end.
-func (e *webEntry) drain(ctx context.Context) {
+func (e *webEntry) drain() {
 	began := time.Now()
 	e.stopping.Store(true)
 	e.callers.Drain()
@@ -329,9 +319,6 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	if err := e.node.Leave(ctx); err != nil {
-		e.events.Error(event.HandoverFailed, err)
-	}
 	e.events.Write(event.CallerDrainEnded, func(l *log.Entry) { l.Int64("connections", e.callers.Open()).Int64("requests", e.callers.Active()) })
 }
 
--- a/entry/policy/policy.go
+++ b/entry/policy/policy.go
@@ -64,7 +64,7 @@
 // Policy implements relay.Policy.
 type Policy struct {
 	config Config
-	tokens Tokens
+	tokens tokens
 
 	// set is the configuration in force.
 	set atomic.Pointer[config.Set]
@@ -101,7 +101,7 @@
 // Run borrows tokens, exchanges demand and ends requests that waited too long, until the context ends.
 func (p *Policy) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.tokens.Run(ctx) })
+	group.Go(func() error { return p.tokens.run(ctx) })
 	group.Go(func() error { return every(ctx, tick, p.tickPools) })
 	group.Go(func() error { return p.exchange(ctx) })
 	return group.Wait()
@@ -172,14 +172,14 @@
 	var mark limit.Mark
 	if charged {
 		var err error
-		if mark, err = p.tokens.Take(ctx, r); err != nil {
+		if mark, err = p.tokens.take(ctx, r); err != nil {
 			return nil, err
 		}
 	}
 	item, err := one.wait(ctx, r)
 	if err != nil {
 		if charged {
-			p.tokens.Refund(r.Bucket, r.Limit, mark, r.Charge)
+			p.tokens.refund(r.Bucket, r.Limit, mark, r.Charge)
 		}
 		return nil, err
 	}
@@ -203,7 +203,7 @@
 	a.once.Do(func() {
 		a.pool.done(a.request, a.item, used > 0 || a.request.Charge == 0)
 		if a.charged && used < a.request.Charge {
-			a.policy.tokens.Refund(a.request.Bucket, a.request.Limit, a.mark, a.request.Charge-max(0, used))
+			a.policy.tokens.refund(a.request.Bucket, a.request.Limit, a.mark, a.request.Charge-max(0, used))
 		}
 	})
 }
--- a/entry/policy/tokens.go
+++ b/entry/policy/tokens.go
@@ -31,8 +31,8 @@
 	recovery = 5 * time.Second
 )
 
-// Tokens charges customers' buckets from what this entry borrowed.
-type Tokens struct {
+// tokens charges customers' buckets from what this entry borrowed.
+type tokens struct {
 	config Config
 
 	mu       sync.Mutex
@@ -77,18 +77,7 @@
 	mark limit.Mark
 }
 
-// NewTokens returns Tokens without any borrowed ones; Run borrows them. Of the configuration it uses what concerns the
-// session, the view, the peers and the clock.
-func NewTokens(c Config) *Tokens {
-	if c.Now == nil {
-		c.Now = time.Now
-	}
-	t := &Tokens{}
-	t.init(c)
-	return t
-}
-
-func (t *Tokens) init(c Config) {
+func (t *tokens) init(c Config) {
 	t.config = c
 	t.borrower = limit.NewBorrower(0)
 	t.lines, t.owners, t.told = map[string]*line{}, map[string]uint64{}, map[uint64]bool{}
@@ -110,9 +99,9 @@
 	}
 }
 
-// Take charges a request. It waits while the owner changes, up to the queue timeout, and for a short time for
+// take charges a request. It waits while the owner changes, up to the queue timeout, and for a short time for
 // tokens that other entries give back.
-func (t *Tokens) Take(ctx context.Context, r *relay.Request) (mark limit.Mark, err error) {
+func (t *tokens) take(ctx context.Context, r *relay.Request) (mark limit.Mark, err error) {
 	now := t.config.Now()
 	w := &waiter{charge: r.Charge, limit: r.Limit, since: now, until: now.Add(patience), target: patience, ready: make(chan error, 1)}
 	if r.Profile != nil {
@@ -161,7 +150,7 @@
 }
 
 // leave takes a waiter out whose caller went away. Its charge goes back if it was granted meanwhile.
-func (t *Tokens) leave(bucket string, w *waiter, cause error) error {
+func (t *tokens) leave(bucket string, w *waiter, cause error) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	select {
@@ -231,7 +220,7 @@
 }
 
 // spend charges held tokens, while the own session is valid: the tokens of an ended session are void.
-func (t *Tokens) spend(now time.Time, bucket string, w *waiter) (bool, error) {
+func (t *tokens) spend(now time.Time, bucket string, w *waiter) (bool, error) {
 	if !t.config.LeaseValid() {
 		if w.charge > w.limit.BurstTokens {
 			return false, tooLarge()
@@ -247,7 +236,7 @@
 }
 
 // serve grants what the held tokens cover, in order, and ends waits. It returns a request that is due.
-func (t *Tokens) serve(now time.Time, bucket string, l *line) (limit.Request, bool) {
+func (t *tokens) serve(now time.Time, bucket string, l *line) (limit.Request, bool) {
 	if t.borrower.Unanswered(now, bucket) > notOwnerPause || !t.config.LeaseValid() {
 		l.fail(now)
 	}
@@ -269,7 +258,7 @@
 }
 
 // trim refuses waiters whose time is over.
-func (t *Tokens) trim(now time.Time, bucket string, l *line) {
+func (t *tokens) trim(now time.Time, bucket string, l *line) {
 	retryAfter := t.borrower.RetryAfter(now, bucket)
 	dry := l.dryFor(now) > settled
 	ahead := int64(0)
@@ -296,8 +285,7 @@
 	}
 }
 
-// Refund returns charged tokens that were not used.
-func (t *Tokens) Refund(bucket string, l config.Limit, mark limit.Mark, tokens int64) {
+func (t *tokens) refund(bucket string, l config.Limit, mark limit.Mark, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.borrower.Refund(t.config.Now(), bucket, l, mark, tokens)
@@ -305,7 +293,7 @@
 
 // refresh follows the view: a new session begins without tokens, and the holdings of a bucket whose owner
 // changed are reported to the new one.
-func (t *Tokens) refresh(now time.Time) {
+func (t *tokens) refresh(now time.Time) {
 	if session := t.config.Session(); session != t.session {
 		t.session = session
 		t.borrower = limit.NewBorrower(session)
@@ -340,7 +328,7 @@
 }
 
 // send sends a request to the bucket's owner and takes the response into account, until no request is due.
-func (t *Tokens) send(ctx context.Context, r limit.Request) {
+func (t *tokens) send(ctx context.Context, r limit.Request) {
 	for due := true; due && ctx.Err() == nil; {
 		owner := t.config.Peers.Owner(r.Bucket)
 		if r, due = t.route(r, owner); !due {
@@ -357,7 +345,7 @@
 
 // route notes who is asked. When that is another owner than before, the request is replaced by a report of what
 // is held.
-func (t *Tokens) route(r limit.Request, owner uint64) (limit.Request, bool) {
+func (t *tokens) route(r limit.Request, owner uint64) (limit.Request, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Session != t.session {
@@ -372,7 +360,7 @@
 	return t.borrower.DueFor(t.config.Now(), r.Bucket)
 }
 
-func (t *Tokens) answer(r limit.Request, response *fleetpb.BorrowResponse, err error) (limit.Request, bool) {
+func (t *tokens) answer(r limit.Request, response *fleetpb.BorrowResponse, err error) (limit.Request, bool) {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -403,8 +391,8 @@
 	return t.serve(now, r.Bucket, l)
 }
 
-// Run borrows ahead of demand, repeats requests, ends waits and reports holdings, until the context ends.
-func (t *Tokens) Run(ctx context.Context) error {
+// run borrows ahead of demand, repeats requests, ends waits and reports holdings, until the context ends.
+func (t *tokens) run(ctx context.Context) error {
 	var group errgroup.Group
 	group.SetLimit(maxCalls)
 	err := every(ctx, tick, func() {
@@ -430,7 +418,7 @@
 }
 
 // work returns the requests that are due and the sessions to tell that all holdings were reported.
-func (t *Tokens) work() (requests []limit.Request, reports map[uint64]uint64) {
+func (t *tokens) work() (requests []limit.Request, reports map[uint64]uint64) {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -450,7 +438,7 @@
 	return requests, t.reportsDue(now)
 }
 
-func (t *Tokens) reportsDue(now time.Time) map[uint64]uint64 {
+func (t *tokens) reportsDue(now time.Time) map[uint64]uint64 {
 	if t.session == 0 || t.view == nil || len(t.told) >= len(t.view.Sessions) || now.Sub(t.asked) < dueEvery {
 		return nil
 	}
@@ -471,7 +459,7 @@
 }
 
 // report tells a session that it knows all that this entry holds of its buckets.
-func (t *Tokens) report(ctx context.Context, session, index uint64) {
+func (t *tokens) report(ctx context.Context, session, index uint64) {
 	own := t.config.Session()
 	response, err := t.config.Peers.Borrow(ctx, session, &fleetpb.BorrowRequest{SessionId: own, Sequence: index})
 	if err != nil || response.NotOwner {
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -11,9 +11,7 @@
 	"azuredoor.example/core/config"
 	"azuredoor.example/core/document"
 	"azuredoor.example/entry/http1"
-	"azuredoor.example/entry/limit"
 	"azuredoor.example/entry/place"
-	"azuredoor.example/entry/relay"
 )
 
 // request is one request on its way through the router.
@@ -36,7 +34,6 @@
 	need     place.Need
 
 	charged int64
-	mark    limit.Mark
 	// runs counts the sends that may have run, sends all that were written to an upstream.
 	runs, sends int
 	// ran is set when an upstream may have begun to work on the request.
@@ -137,27 +134,19 @@
 	if !q.call.HasTokens {
 		tokens = q.customer.RequestTokens
 	}
-	wait := time.Duration(float64(q.route.Target) * queueShare)
-	mark, err := q.router.config.Limiter.Take(q.ctx, &relay.Request{
-		ID: q.call.ID, Customer: q.customer.Name, Bucket: q.customer.Name, Limit: q.customer.Limit, Charge: tokens, Arrived: q.x.Arrived,
-		Profile: &config.Profile{QueueTimeout: config.Duration(wait), FirstTokenTarget: config.Duration(wait)},
-	})
-	var rejected *relay.Rejection
-	switch {
-	case err == nil:
-		q.charged, q.mark = tokens, mark
-		return nil
-	case errors.As(err, &rejected):
-		return &refusal{rejected.Status, rejected.Text, rejected.RetryAfter}
-	default:
-		return q.timedOut()
+	ok, retryAfter := q.router.config.Limiter.Take(q.customer.Name, q.customer.Limit, tokens)
+	if !ok {
+		q.log.charge = tokens
+		return &refusal{fasthttp.StatusTooManyRequests, "the customer's token limit is used up", retryAfter}
 	}
+	q.charged = tokens
+	return nil
 }
 
 // refund gives the tokens of a request back that has not run.
 func (q *request) refund() {
 	if q.charged > 0 && !q.ran {
-		q.router.config.Limiter.Refund(q.customer.Name, q.customer.Limit, q.mark, q.charged)
+		q.router.config.Limiter.Refund(q.customer.Name, q.customer.Limit, q.charged)
 		q.charged = 0
 	}
 }
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -17,16 +17,16 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/http1"
-	"azuredoor.example/entry/limit"
 	"azuredoor.example/entry/place"
-	"azuredoor.example/entry/relay"
 	"azuredoor.example/entry/retry"
 )
 
 // Limiter charges customers' token buckets.
 type Limiter interface {
-	Take(ctx context.Context, r *relay.Request) (limit.Mark, error)
-	Refund(bucket string, l config.Limit, mark limit.Mark, tokens int64)
+	// Take admits a request, or tells when to return.
+	Take(bucket string, within config.Limit, tokens int64) (ok bool, retryAfter time.Duration)
+	// Refund gives back the tokens of a request that has not run.
+	Refund(bucket string, within config.Limit, tokens int64)
 }
 
 // Control is what the router knows of the control group.
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -26,6 +26,8 @@
 	outcome  place.Outcome
 	// written is false only when no byte can have reached the upstream.
 	written bool
+	// prefill is set when only the prompt is to be read; the answer is for the router.
+	prefill bool
 	err     error
 }
 
@@ -44,7 +46,7 @@
 // send sends the request to an upstream that was picked, and reads the response, or its header in a stream. Bound
 // limits the wait for the first byte.
 func (q *request) send(u place.Upstream, need place.Need, f Forwarding, bound time.Duration, stream bool) *send {
-	s := &send{upstream: u, need: need, began: time.Now(), response: fasthttp.AcquireResponse()}
+	s := &send{upstream: u, need: need, began: time.Now(), response: fasthttp.AcquireResponse(), prefill: f.Prefill}
 	f.Upstream, f.LastEvent = u, orElse(f.LastEvent, q.call.LastEvent)
 	f.Patience = max(time.Millisecond, time.Until(q.deadline))
 	if q.customer != nil {
@@ -100,7 +102,7 @@
 		s.outcome = place.Replaced
 	case s.marks.NotRun && status != fasthttp.StatusBadRequest:
 		s.outcome = place.Refused
-	case status < 300 && !s.marks.Signed, len(s.response.Header.ContentEncoding()) > 0:
+	case status < 300 && !s.marks.Signed && !s.prefill, len(s.response.Header.ContentEncoding()) > 0:
 		s.outcome, s.err = place.Broken, errNotWhole
 	case status >= fasthttp.StatusInternalServerError:
 		s.outcome = place.Erred
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -137,7 +137,7 @@
 func (q *request) firstBound(forecast place.Forecast) time.Duration {
 	left := max(time.Millisecond, time.Until(q.deadline))
 	if q.idempotent() && q.runs+1 < q.route.Attempts {
-		return min(left, 2*forecast.Direct+firstEventSlack)
+		return min(left, max(2*forecast.Best()+firstEventSlack, q.route.Target*3/4))
 	}
 	return left
 }
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -21,6 +21,8 @@
 	events     int
 	reason     string
 	sends      []string
+	// charge is set when the customer's limit refused the request.
+	charge int64
 }
 
 // add notes one send: the upstream, its part, how it ended and after how many milliseconds.
@@ -83,6 +85,9 @@
 		if q.need.Work > 1 {
 			e.Int("tokens", q.need.Work)
 		}
+		if q.log.charge > 0 {
+			e.Int64("charge", q.log.charge).Int64("limitPerSecond", q.customer.Limit.TokensPerSecond).Int64("limitBurst", q.customer.Limit.BurstTokens)
+		}
 		if q.log.reason != "" {
 			e.Str("reason", q.log.reason)
 		}
