--- a/core/document/document.go
+++ b/core/document/document.go
@@ -72,6 +72,8 @@
 	Slots, CacheTokens int
 	// HandleLifetime is how long an engine keeps the result of a prefill that nobody took.
 	HandleLifetime time.Duration
+	// EventTokens is the number of output tokens in one event of a stream, at least 1.
+	EventTokens int
 }
 
 // Customer is who a request runs for.
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -230,6 +230,7 @@
 		RetryPercent: c.RetryRatio * retryPart * 100, RetryFloor: int(float64(c.RetrySlack) * retryPart),
 		Metrics: metric.NewRequests(e.metrics.Scope), Events: events, Background: &e.background,
 	})
+	e.limiter.Share(e.router)
 	e.callers = http1.New(http1.Config{
 		Handler: e.router, Bounds: e.bounds,
 		Dropped: func(reason string) {
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -25,7 +25,7 @@
 	Incarnation                               uint64
 	// Accepts is false for an upstream that leaves. Heard is false when its announcements stopped.
 	Accepts, Heard bool
-	// Capacity bounds the work that this entry has running there, in the unit of Need.Work; 0 means no bound.
+	// Capacity bounds the work that all entries have running there, in the unit of Need.Work; 0 means no bound.
 	Capacity int
 }
 
@@ -96,8 +96,10 @@
 
 type state struct {
 	Upstream
-	// running is the work under way, requests its number of requests.
+	// running is the work of this entry under way, requests its number of requests.
 	running, requests int
+	// others is the same of all other entries, by session.
+	others map[uint64]Load
 	// failing is the average of recent outcomes, 1 for a failure, at failedAt.
 	failing  float64
 	failedAt time.Time
@@ -105,8 +107,6 @@
 	// ejections counts those without a success in between.
 	ejections int
 	ejected   time.Time
-	// busyUntil is when the prompts that were sent are expected to be read.
-	busyUntil time.Time
 }
 
 func (s *state) failure(now time.Time) float64 {
@@ -116,19 +116,69 @@
 	return s.failing * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
 }
 
+// total is the work and the number of requests of all entries.
+func (s *state) total() (work, requests int) {
+	work, requests = s.running, s.requests
+	for _, l := range s.others {
+		work += l.Work
+		requests += l.Requests
+	}
+	return work, requests
+}
+
+// Load is what one entry has running at an upstream.
+type Load struct {
+	ID             string
+	Incarnation    uint64
+	Work, Requests int
+}
+
+// Loads returns what this entry has running, for the other entries.
+func (t *Table) Loads() []Load {
+	var loads []Load
+	for _, id := range t.order {
+		if s := t.states[id]; s.requests > 0 {
+			loads = append(loads, Load{s.ID, s.Incarnation, s.running, s.requests})
+		}
+	}
+	return loads
+}
+
+// Observe replaces what another entry has running. Without loads the entry is forgotten.
+func (t *Table) Observe(session uint64, loads []Load) {
+	for _, s := range t.states {
+		delete(s.others, session)
+	}
+	for _, l := range loads {
+		if s := t.states[l.ID]; s != nil && s.Incarnation == l.Incarnation {
+			if s.others == nil {
+				s.others = map[uint64]Load{}
+			}
+			s.others[session] = l
+		}
+	}
+}
+
+// Grow adds to the work of a request that turned out larger than expected.
+func (t *Table) Grow(u Upstream, work int) {
+	if s := t.states[u.ID]; s != nil && s.Incarnation == u.Incarnation {
+		s.running += work
+	}
+}
+
 // Table holds what this entry knows of all upstreams.
 type Table struct {
 	states map[string]*state
 	order  []string
 	// turn breaks ties in turn.
 	turn int
-	// speed is the observed reading speed of prompts by role, in tokens per millisecond.
-	speed map[string]float64
+	// speed is the observed reading speed of prefill engines, in tokens per millisecond.
+	speed float64
 }
 
 // NewTable returns an empty table. The turn makes entries begin at different upstreams.
 func NewTable(turn int) *Table {
-	return &Table{states: map[string]*state{}, turn: turn, speed: map[string]float64{}}
+	return &Table{states: map[string]*state{}, turn: turn, speed: firstSpeed}
 }
 
 // Set replaces the upstreams. What is known of an incarnation is kept.
@@ -154,21 +204,14 @@
 	if err != nil {
 		return Upstream{}, err
 	}
-	t.begin(now, s, need)
+	t.begin(s, need)
 	return s.Upstream, nil
 }
 
-func (t *Table) begin(now time.Time, s *state, need Need) {
+func (t *Table) begin(s *state, need Need) {
 	t.turn++
 	s.running += need.Work
 	s.requests++
-	if speed := t.speedOf(s.Role); need.Work > 1 && speed > 0 {
-		from := s.busyUntil
-		if from.Before(now) {
-			from = now
-		}
-		s.busyUntil = from.Add(reading(need.Work, speed))
-	}
 }
 
 // best finds the cheapest upstream; ejected ones count only when there is no other.
@@ -185,7 +228,7 @@
 				continue
 			}
 			accepting++
-			if s.Capacity > 0 && s.requests > 0 && s.running+need.Work > s.Capacity {
+			if work, requests := s.total(); s.Capacity > 0 && requests > 0 && work+need.Work > s.Capacity {
 				continue
 			}
 			candidates = append(candidates, s)
@@ -216,12 +259,8 @@
 
 // cost is in units of the request's own work.
 func (t *Table) cost(now time.Time, s *state, need Need, lowest float64) float64 {
-	cost := 1 + float64(s.running)/float64(need.Work)
-	if ahead := s.busyUntil.Sub(now); ahead > 0 {
-		if speed := t.speedOf(s.Role); speed > 0 {
-			cost += float64(ahead) / float64(reading(need.Work, speed))
-		}
-	}
+	work, _ := s.total()
+	cost := 1 + float64(work)/float64(need.Work)
 	cost += failurePenalty * (s.failure(now) - lowest)
 	if s.FailureDomain != need.FailureDomain {
 		cost += farPenalty
@@ -240,9 +279,6 @@
 	}
 	s.running = max(0, s.running-need.Work)
 	s.requests = max(0, s.requests-1)
-	if s.requests == 0 {
-		s.busyUntil = time.Time{}
-	}
 	grade := map[Outcome]float64{Erred: 0.5, Refused: 0.7, Broken: 1, Unreachable: 1, Replaced: 1}
 	if outcome == Cancelled {
 		return 0
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -12,73 +12,61 @@
 	speedFade = 0.98
 	// handOver is the time that moving a prefill's result to a decode engine takes beside the reading.
 	handOver = 10 * time.Millisecond
-	// worthMoving is how much sooner the first token must come by way of a prefill engine. Moving a result takes link
-	// capacity and can fail, so a decode engine that is nearly as fast reads the prompt itself.
-	worthMoving = 120 * time.Millisecond
 )
 
 func reading(tokens int, speed float64) time.Duration {
 	return time.Duration(float64(tokens) / speed * float64(time.Millisecond))
 }
 
-func (t *Table) speedOf(role string) float64 {
-	switch speed := t.speed[RolePrefill]; {
-	case role == RoleAny:
-		return 0
-	case speed == 0 && role == RoleDecode:
-		return firstSpeed * decodeShare
-	case speed == 0:
-		return firstSpeed
-	case role == RoleDecode:
-		return speed * decodeShare
-	default:
-		return speed
-	}
-}
-
-// ObserveRead takes into account how long an engine took for a prompt, the wait behind others included.
-func (t *Table) ObserveRead(role string, tokens int, took time.Duration) {
+// ObserveRead takes into account how long a prefill engine took for a prompt, the wait behind others included.
+func (t *Table) ObserveRead(tokens int, took time.Duration) {
 	if took <= 0 || tokens <= 0 {
 		return
 	}
 	speed := float64(tokens) / (float64(took) / float64(time.Millisecond))
-	if role == RoleDecode {
-		speed /= decodeShare
-	}
-	t.speed[RolePrefill] = max(speed, t.speedOf(RolePrefill)*speedFade)
+	t.speed = max(speed, t.speed*speedFade)
 }
 
-// Forecast is the expected time to the first token.
+// Forecast is the expected time to the first token of a request that was placed on a decode engine.
 type Forecast struct {
-	// Direct is by way of a decode engine alone, Split by way of a prefill engine first.
+	// Direct is by way of the decode engine alone, Split by way of a prefill engine first.
 	Direct, Split time.Duration
 	// HasSplit is false when no prefill engine can take the request.
 	HasSplit bool
+	// Alone is set when nothing else runs on the decode engine.
+	Alone bool
 }
 
-// Forecast estimates the time to the first token of a request to the engines of a service.
-func (t *Table) Forecast(now time.Time, need Need) (Forecast, error) {
-	need.Role = RoleDecode
-	decode, err := t.best(now, need)
-	if err != nil {
-		return Forecast{}, err
+// Forecast estimates the time to the first token of a prompt that the decode engine was picked for. Its own work counts
+// as running there already.
+func (t *Table) Forecast(now time.Time, decode Upstream, need Need, prompt int) Forecast {
+	f := Forecast{Direct: reading(prompt, t.speed*decodeShare), Alone: true}
+	if s := t.states[decode.ID]; s != nil {
+		_, requests := s.total()
+		f.Alone = requests <= 1
 	}
-	wait := func(s *state) time.Duration { return max(0, s.busyUntil.Sub(now)) }
-	f := Forecast{Direct: wait(decode) + reading(need.Work, t.speedOf(RoleDecode))}
-	need.Role, need.Exclude = RolePrefill, nil
+	need.Role, need.Work, need.Exclude = RolePrefill, prompt, nil
 	if prefill, err := t.best(now, need); err == nil {
 		f.HasSplit = true
-		f.Split = wait(prefill) + reading(need.Work, t.speedOf(RolePrefill)) + handOver
+		work, _ := prefill.total()
+		f.Split = reading(work+prompt, t.speed) + handOver
 	}
-	return f, nil
+	return f
 }
 
-// Separate says whether a prefill engine should read the prompt.
-func (f Forecast) Separate() bool { return f.HasSplit && f.Direct > f.Split+worthMoving }
+// Separate says whether a prefill engine should read the prompt. A decode engine that reads a prompt delays all streams
+// that run there, which then hold its memory for longer, so it only reads when nothing else runs there or when all prefill
+// engines have a longer line.
+func (f Forecast) Separate(target time.Duration) bool {
+	if !f.HasSplit || f.Alone && f.Direct < target/2 {
+		return false
+	}
+	return f.Split < max(f.Direct, target*3/4)
+}
 
 // Best is the expected time to the first token by the chosen way.
-func (f Forecast) Best() time.Duration {
-	if f.Separate() {
+func (f Forecast) Best(target time.Duration) time.Duration {
+	if f.Separate(target) {
 		return f.Split
 	}
 	return f.Direct
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -15,6 +15,7 @@
 	"azuredoor.example/core/fleetrpc"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/limit"
+	"azuredoor.example/entry/place"
 )
 
 const (
@@ -41,6 +42,7 @@
 
 	control Control
 	dialer  fleetrpc.Dialer
+	loads   Loads
 
 	mu    sync.Mutex
 	meter *limit.Meter
@@ -48,7 +50,13 @@
 	conns map[uint64]*grpc.ClientConn
 }
 
-// New returns a limiter; Run exchanges reports.
+// Loads is what entries tell each other of the work at upstreams.
+type Loads interface {
+	Loads() []place.Load
+	Observe(session uint64, loads []place.Load)
+}
+
+// New returns a limiter; Run exchanges reports, which carry loads as well.
 func New(c Control, dialer fleetrpc.Dialer) *Limiter {
 	return &Limiter{control: c, dialer: dialer, meter: limit.NewMeter(), conns: map[uint64]*grpc.ClientConn{}}
 }
@@ -67,6 +75,9 @@
 	l.meter.Refund(time.Now(), bucket, within, tokens)
 }
 
+// Share makes the reports carry what runs at upstreams. It is called before Run.
+func (l *Limiter) Share(loads Loads) { l.loads = loads }
+
 // Run exchanges reports until the context ends.
 func (l *Limiter) Run(ctx context.Context) error {
 	defer l.close()
@@ -128,6 +139,7 @@
 	if err != nil {
 		// The meter assumes a use for a silent peer; a later exchange tells the real one.
 		l.drop(peer.Id, conn)
+		l.loads.Observe(peer.Id, nil)
 		return
 	}
 	l.observe(peer.Id, report)
@@ -142,9 +154,14 @@
 
 func (l *Limiter) report() *fleetpb.UseReport {
 	own, _ := l.control.SessionID()
+	report := &fleetpb.UseReport{SessionId: own}
+	for _, load := range l.loads.Loads() {
+		report.Upstreams = append(report.Upstreams, &fleetpb.UpstreamUse{
+			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests),
+		})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := &fleetpb.UseReport{SessionId: own}
 	for _, u := range l.meter.Report(time.Now()) {
 		report.Customers = append(report.Customers, &fleetpb.CustomerUse{Customer: u.Bucket, Tokens: u.Tokens, Level: int64(u.Level)})
 	}
@@ -156,6 +173,11 @@
 	for _, c := range report.Customers {
 		uses = append(uses, limit.Use{Bucket: c.Customer, Tokens: c.Tokens, Level: float64(c.Level)})
 	}
+	loads := make([]place.Load, 0, len(report.Upstreams))
+	for _, u := range report.Upstreams {
+		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests)})
+	}
+	l.loads.Observe(session, loads)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.meter.Observe(time.Now(), session, uses, l.control.View().Limit)
--- a/entry/web/codec.go
+++ b/entry/web/codec.go
@@ -21,6 +21,8 @@
 	// PromptTokens and MaxTokens are the sizes of a generation; HasTokens is false when the caller states none.
 	PromptTokens, MaxTokens int
 	HasTokens               bool
+	// ExpectedTokens is the caller's estimate of the output tokens; 0 when it states none.
+	ExpectedTokens int
 	// LastEvent is the ID of the last event that the caller has of an earlier answer, empty for none.
 	LastEvent string
 }
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -32,6 +32,8 @@
 	// deadline is when the caller or the route's timeout ends the request, whichever is first.
 	deadline time.Time
 	need     place.Need
+	// expected is the expected number of output tokens.
+	expected int
 
 	charged int64
 	// runs counts the sends that may have run, sends all that were written to an upstream.
@@ -60,6 +62,11 @@
 	answerMargin = 15 * time.Millisecond
 	// queueShare is the part of the target that a request may wait for tokens or a busy service.
 	queueShare = 0.7
+	// outputShare is the part of a generation's expected output for which room is kept: requests are at all stages of
+	// their answers, so that few are at their end at once.
+	outputShare = 0.6
+	// lengthGain is the weight of one answer in the average length of a route's answers.
+	lengthGain = 0.05
 )
 
 func (q *request) findDocument() *refusal {
@@ -120,7 +127,8 @@
 	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
 	if s := q.document.Services[q.service]; s.Engine != nil {
 		q.need.Role = place.RoleDecode
-		q.need.Work = max(1, q.call.PromptTokens+q.call.MaxTokens)
+		q.expected = q.router.expect(q.route.Name, q.call)
+		q.need.Work = max(1, q.call.PromptTokens+int(float64(q.expected)*outputShare))
 	}
 	return nil
 }
@@ -197,6 +205,47 @@
 	case errors.Is(err, place.ErrNone):
 		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", startRetry}
 	default:
-		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service are busy", busyRetry}
+		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service are busy", q.router.refusedFor(q.service)}
 	}
 }
+
+// expect returns the expected number of output tokens of a generation.
+func (r *Router) expect(route string, call Call) int {
+	if call.ExpectedTokens > 0 {
+		return min(call.ExpectedTokens, call.MaxTokens)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if mean := r.lengths[route]; mean > 0 {
+		return min(int(mean), call.MaxTokens)
+	}
+	return call.MaxTokens / 2
+}
+
+// learn takes the length of a whole answer into account.
+func (r *Router) learn(route string, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mean := r.lengths[route]
+	if mean == 0 {
+		mean = float64(tokens)
+	}
+	r.lengths[route] = mean + lengthGain*(float64(tokens)-mean)
+}
+
+// refusedFor returns when a caller that found no room should return.
+func (r *Router) refusedFor(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.returnsOf(service).Refused(time.Now())
+}
+
+// returnsOf returns the record of a service's refused callers. The caller holds the lock.
+func (r *Router) returnsOf(service string) *place.Returns {
+	one := r.returns[service]
+	if one == nil {
+		one = &place.Returns{}
+		r.returns[service] = one
+	}
+	return one
+}
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -64,6 +64,10 @@
 	mu      sync.Mutex
 	table   *place.Table
 	budgets map[string]*retry.Budget
+	// lengths is the average output of the generations of each route, in tokens.
+	lengths map[string]float64
+	// returns is the work that was refused for want of room and is expected to return, by service.
+	returns map[string]*place.Returns
 	// freed is closed and replaced when an attempt ends or the upstreams change.
 	freed chan struct{}
 	// addresses and entries follow the view.
@@ -73,7 +77,8 @@
 // New returns a router without upstreams.
 func New(c Config) *Router {
 	return &Router{
-		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{}, freed: make(chan struct{}), entries: 1,
+		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
+		lengths: map[string]float64{}, returns: map[string]*place.Returns{}, freed: make(chan struct{}), entries: 1,
 	}
 }
 
@@ -92,6 +97,9 @@
 		if view.Document != nil {
 			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
 				one.Capacity = int(float64(s.Engine.CacheTokens) * engineShare)
+				if one.Role == place.RolePrefill {
+					one.Capacity = 0
+				}
 			}
 		}
 		upstreams = append(upstreams, one)
@@ -104,11 +112,12 @@
 }
 
 const (
-	// plainQueue is how many requests for each slot of a plain upstream this entry sends before it waits: upstreams queue a
-	// few more than they run.
-	plainQueue = 2
-	// engineShare is the part of an engine's memory that this entry fills before it waits; other entries use the rest.
-	engineShare = 0.6
+	// plainQueue is how many requests for each slot of a plain upstream run before others wait: upstreams queue a few more
+	// than they run.
+	plainQueue = 3
+	// engineShare is the part of an engine's memory that requests are placed in. The rest is room for answers that grow
+	// longer than expected; an engine without room stops a request and reads it again.
+	engineShare = 0.93
 )
 
 // gone says whether an upstream that fell silent has ended for good: another one has its address, or it said so.
@@ -193,10 +202,29 @@
 	}
 }
 
+// Loads implements usage.Loads.
+func (r *Router) Loads() []place.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Loads()
+}
+
+// Observe implements usage.Loads.
+func (r *Router) Observe(session uint64, loads []place.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Observe(session, loads)
+	r.wake()
+}
+
 // end counts the end of an attempt.
 func (r *Router) end(u place.Upstream, need place.Need, outcome place.Outcome) {
 	r.mu.Lock()
-	ejected := r.table.End(time.Now(), u, need, outcome)
+	now := time.Now()
+	ejected := r.table.End(now, u, need, outcome)
+	if need.Role != place.RolePrefill {
+		r.returnsOf(need.Service).Ended(now)
+	}
 	r.wake()
 	r.mu.Unlock()
 	if ejected > 0 {
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -18,8 +18,10 @@
 	// streamStall is the longest pause in a stream before another upstream takes over: well beyond the pause that callers
 	// notice, and below the one at which they leave.
 	streamStall = 1200 * time.Millisecond
-	// firstEventSlack is added to twice the expected time to the first event before another upstream takes over.
-	firstEventSlack = 300 * time.Millisecond
+	// firstEventSlack is added to three times the expected time to the first event before another upstream takes over.
+	firstEventSlack = 900 * time.Millisecond
+	// roomShare is the part of the target that a generation may wait for room on an engine.
+	roomShare = 0.4
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 	// freeTimeout bounds the call that frees a prefill's result.
@@ -104,22 +106,21 @@
 	}
 }
 
-// open sends the request to a decode engine, after a prefill engine where that is faster.
+// open places the request on a decode engine and sends it there, after a prefill engine has read its prompt where that is
+// better. The decode engine comes first, so that no prompt is read for which there is no room.
 func (q *request) open(last string, direct bool) (*send, *refusal) {
 	f := Forwarding{LastEvent: last}
-	forecast, err := q.forecast()
-	if err == nil && last == "" && !q.ran && forecast.Best() > time.Until(q.deadline) {
-		return nil, &refusal{fasthttp.StatusServiceUnavailable, "the engines cannot serve the request in time", forecast.Best() - time.Until(q.deadline)}
-	}
-	if err == nil && !direct && q.need.Role == place.RoleDecode && forecast.Separate() {
-		f.Source, f.Handle = q.prefill(forecast)
-	}
-	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * queueShare))
+	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * roomShare))
 	u, err := q.router.pick(q.ctx, q.need, until)
 	if err != nil {
-		q.free(f)
 		return nil, q.unavailable(err)
 	}
+	forecast := q.router.forecast(u, q.need, q.call.PromptTokens)
+	target := q.route.Target
+	if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
+		f.Source, f.Handle = q.prefill(forecast)
+		forecast.HasSplit = f.Handle != ""
+	}
 	s := q.send(u, q.need, f, q.firstBound(forecast), true)
 	if s.outcome != place.Served {
 		q.free(f)
@@ -127,17 +128,18 @@
 	return s, nil
 }
 
-func (q *request) forecast() (place.Forecast, error) {
-	q.router.mu.Lock()
-	defer q.router.mu.Unlock()
-	return q.router.table.Forecast(time.Now(), q.need)
+func (r *Router) forecast(u place.Upstream, need place.Need, prompt int) place.Forecast {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Forecast(time.Now(), u, need, prompt)
 }
 
-// firstBound is how long to wait for the response and its first event.
+// firstBound is how long to wait for the response and its first event before another engine is tried. Trying another one
+// means reading the prompt again, so an engine gets several times the expected time.
 func (q *request) firstBound(forecast place.Forecast) time.Duration {
 	left := max(time.Millisecond, time.Until(q.deadline))
 	if q.idempotent() && q.runs+1 < q.route.Attempts {
-		return min(left, max(2*forecast.Best()+firstEventSlack, q.route.Target*3/4))
+		return min(left, 3*forecast.Best(q.route.Target)+firstEventSlack)
 	}
 	return left
 }
@@ -146,7 +148,7 @@
 // the prompt itself.
 func (q *request) prefill(forecast place.Forecast) (source, handle string) {
 	need := q.need
-	need.Role, need.Exclude = place.RolePrefill, nil
+	need.Role, need.Work, need.Exclude = place.RolePrefill, max(1, q.call.PromptTokens), nil
 	u, err := q.router.pick(q.ctx, need, time.Now())
 	if err != nil {
 		return "", ""
@@ -170,14 +172,14 @@
 		}
 		return "", ""
 	}
-	q.router.observeRead(place.RolePrefill, q.call.PromptTokens, time.Since(s.began))
+	q.router.observeRead(q.call.PromptTokens, time.Since(s.began))
 	return u.Address, handle
 }
 
-func (r *Router) observeRead(role string, tokens int, took time.Duration) {
+func (r *Router) observeRead(tokens int, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.ObserveRead(role, tokens, took)
+	r.table.ObserveRead(tokens, took)
 }
 
 // free drops a prefill's result that no engine took.
@@ -203,7 +205,7 @@
 	reader := bufio.NewReaderSize(s.body, 8<<10)
 	first := true
 	if q.idempotent() && q.runs+1 < q.route.Attempts {
-		s.body.Until(s.began.Add(q.firstBound(place.Forecast{Direct: q.route.Target / 3})))
+		s.body.Until(time.Now().Add(streamStall))
 	} else {
 		s.body.Until(q.deadline)
 	}
@@ -240,13 +242,33 @@
 			s.err = err
 			return q.endRelay(s, err)
 		}
-		q.log.events++
+		q.grow(s, event)
 		if id != "" {
 			*last = id
 		}
 	}
 }
 
+// grow counts the events that were passed on, and the room that a longer answer than expected takes.
+func (q *request) grow(s *send, events []byte) {
+	q.log.events += bytes.Count(events, []byte("\n\n"))
+	service := q.document.Services[q.service]
+	if service.Engine == nil {
+		return
+	}
+	needed := q.call.PromptTokens + q.log.events*service.Engine.EventTokens
+	if extra := needed - s.need.Work; extra > 0 {
+		s.need.Work += extra
+		q.router.grow(s.upstream, extra)
+	}
+}
+
+func (r *Router) grow(u place.Upstream, work int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Grow(u, work)
+}
+
 // endRelay judges the end of a stream.
 func (q *request) endRelay(s *send, err error) bool {
 	switch {
@@ -259,6 +281,9 @@
 		if err := q.x.End(); err != nil {
 			q.log.reason = err.Error()
 		}
+		if engine := q.document.Services[q.service].Engine; engine != nil {
+			q.router.learn(q.route.Name, q.log.events*engine.EventTokens)
+		}
 		return true
 	case q.x.Context.Err() != nil:
 		s.outcome, s.err = place.Cancelled, err
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -83,7 +83,7 @@
 			e.Int("events", q.log.events).Int64("firstEventMs", q.log.firstEvent.Milliseconds()).Str("lastEvent", q.call.LastEvent)
 		}
 		if q.need.Work > 1 {
-			e.Int("tokens", q.need.Work)
+			e.Int("promptTokens", q.call.PromptTokens).Int("maxTokens", q.call.MaxTokens)
 		}
 		if q.log.charge > 0 {
 			e.Int64("charge", q.log.charge).Int64("limitPerSecond", q.customer.Limit.TokensPerSecond).Int64("limitBurst", q.customer.Limit.BurstTokens)
