Refuse streams late in a stop, and keep a prefill's result for another engine

Prefills were also read in vain where the decode engine could not be reached; the handle now goes to the next engine.

--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -131,7 +131,7 @@
 	// settingsPoll is how often the settings file is looked at; not every change comes with a signal.
 	settingsPoll = 2 * time.Second
 	// upstreamConnect and upstreamUnacked bound what a dead upstream costs: a connection in a region takes milliseconds.
-	upstreamConnect = 250 * time.Millisecond
+	upstreamConnect = 150 * time.Millisecond
 	upstreamUnacked = 600 * time.Millisecond
 	// upstreamIdle bounds how long a connection to an upstream is kept, upstreamKeep the same where the upstream states
 	// no time.
@@ -226,7 +226,7 @@
 		Connect: upstreamConnect, Unacknowledged: upstreamUnacked, Idle: upstreamIdle, KeepAlive: upstreamKeep,
 	})
 	e.router = web.New(web.Config{
-		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain, FreshFor: fresh,
+		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain, FreshFor: fresh, Grace: c.Grace - stopMargin,
 		RetryPercent: c.RetryRatio * retryPart * 100, RetryFloor: int(float64(c.RetrySlack) * retryPart),
 		Metrics: metric.NewRequests(e.metrics.Scope), Events: events, Background: &e.background,
 	})
@@ -312,7 +312,7 @@
 func (e *webEntry) drain() {
 	began := time.Now()
 	e.stopping.Store(true)
-	e.callers.Drain()
+	e.callers.Drain(e.config.Grace - stopMargin)
 	e.events.Write(event.EntryDraining, func(l *log.Entry) { l.Int64("connections", e.callers.Open()).Int64("requests", e.callers.Active()) })
 	for time.Since(began) < e.config.Grace-stopMargin {
 		if time.Since(began) > balancerNotices && e.callers.Active() == 0 && e.callers.Open() == 0 {
--- a/entry/http1/exchange.go
+++ b/entry/http1/exchange.go
@@ -25,7 +25,8 @@
 	Request *fasthttp.Request
 	// Arrived is when the first byte of the request was there.
 	Arrived time.Time
-	// Refused is told of a refusal before it is written; it may be nil.
+
+	// status is that of the answer, 0 while there is none.
 	status int
 
 	server *Server
@@ -156,7 +157,10 @@
 	return ""
 }
 
-// Deadline bounds reads of nothing more; it only tells whether the connection ends after this answer.
+// Left returns how long the process goes on, and false while no end is planned.
+func (x *Exchange) Left() (time.Duration, bool) { return x.server.Left() }
+
+// closing says whether the connection ends after this answer.
 func (x *Exchange) closing() bool { return x.last || x.server.draining.Load() }
 
 // Status returns the status of the answer, 0 while there is none.
--- a/entry/http1/server.go
+++ b/entry/http1/server.go
@@ -60,6 +60,8 @@
 	end      context.CancelCauseFunc
 	listener *tcp.Listener
 	draining atomic.Bool
+	// ends is when a draining process ends, in nanoseconds since the Unix epoch.
+	ends atomic.Int64
 	// open counts connections, active those with a request.
 	open, active atomic.Int64
 }
@@ -97,8 +99,19 @@
 	}
 }
 
-// Drain makes each further answer the last one on its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes each further answer the last one on its connection. The process ends after the time left.
+func (s *Server) Drain(left time.Duration) {
+	s.ends.Store(time.Now().Add(left).UnixNano())
+	s.draining.Store(true)
+}
+
+// Left returns how long the process goes on, and false while no end is planned.
+func (s *Server) Left() (time.Duration, bool) {
+	if !s.draining.Load() {
+		return 0, false
+	}
+	return time.Until(time.Unix(0, s.ends.Load())), true
+}
 
 // Draining says whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
@@ -109,7 +122,7 @@
 
 // Close ends the running requests with ErrStopping, gives their answers time to leave and closes what is open.
 func (s *Server) Close() {
-	s.Drain()
+	s.draining.Store(true)
 	s.end(ErrStopping)
 	for limit := time.Now().Add(finalWait); s.active.Load() > 0 && time.Now().Before(limit); {
 		time.Sleep(finalWait / 20)
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -54,6 +54,11 @@
 const (
 	// startRetry is when a caller may return to an entry that knows no configuration yet, or none that is fresh.
 	startRetry = 500 * time.Millisecond
+	// stopAccepts is how long after a stop signal requests are taken whose timeout lies beyond the end: the load balancer
+	// needs about that time to send callers elsewhere.
+	stopAccepts = 2500 * time.Millisecond
+	// stopRetry is when a caller may turn to another entry.
+	stopRetry = 20 * time.Millisecond
 	// busyRetry is when a caller may return after all upstreams were busy: a few service times.
 	busyRetry = 200 * time.Millisecond
 	// defaultPatience bounds a request whose caller states none.
@@ -122,6 +127,9 @@
 		patience = defaultPatience
 	}
 	q.deadline = q.x.Arrived.Add(min(patience, q.route.Timeout) - answerMargin)
+	if left, ending := q.x.Left(); ending && left < q.route.Timeout && left < q.router.config.Grace-stopAccepts {
+		return &refusal{fasthttp.StatusServiceUnavailable, "this entry is stopping", stopRetry}
+	}
 	q.ctx, q.cancel = context.WithDeadline(q.x.Context, q.deadline)
 	q.service = q.route.Service(rand.Uint64())
 	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -47,6 +47,8 @@
 	FailureDomain string
 	// FreshFor is the largest age of the view at which a key is accepted.
 	FreshFor time.Duration
+	// Grace is the time between a stop signal and the end of the process.
+	Grace time.Duration
 	// RetryPercent is the share of a service's requests that may be sent again; RetryFloor is how many more the whole
 	// fleet may send again in retry.Window.
 	RetryPercent float64
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -24,6 +24,8 @@
 	roomShare = 0.4
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
+	// handleMargin is kept from the end of a handle's life: the request must arrive before.
+	handleMargin = 60 * time.Millisecond
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = 500 * time.Millisecond
 	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
@@ -37,8 +39,10 @@
 func (q *request) stream() {
 	last := ""
 	direct := false
+	var kept Forwarding
+	defer func() { q.free(kept) }()
 	for tries := 0; ; tries++ {
-		s, refused := q.open(last, direct)
+		s, refused := q.open(last, direct, &kept)
 		if refused != nil {
 			q.refuse(refused)
 			return
@@ -108,7 +112,7 @@
 
 // open places the request on a decode engine and sends it there, after a prefill engine has read its prompt where that is
 // better. The decode engine comes first, so that no prompt is read for which there is no room.
-func (q *request) open(last string, direct bool) (*send, *refusal) {
+func (q *request) open(last string, direct bool, kept *Forwarding) (*send, *refusal) {
 	f := Forwarding{LastEvent: last}
 	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * roomShare))
 	u, err := q.router.pick(q.ctx, q.need, until)
@@ -117,13 +121,18 @@
 	}
 	forecast := q.router.forecast(u, q.need, q.call.PromptTokens)
 	target := q.route.Target
-	if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
+	if kept.Handle != "" && time.Since(q.log.prefilled) < q.handleLifetime() {
+		// No byte of the request reached the engine before: the result of the prefill is still there.
+		f.Source, f.Handle = kept.Source, kept.Handle
+		forecast.HasSplit = true
+	} else if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
 		f.Source, f.Handle = q.prefill(forecast)
 		forecast.HasSplit = f.Handle != ""
 	}
 	s := q.send(u, q.need, f, q.firstBound(forecast), true)
-	if s.outcome != place.Served {
-		q.free(f)
+	*kept = Forwarding{}
+	if !s.written || s.outcome == place.Refused {
+		*kept = f
 	}
 	return s, nil
 }
@@ -172,6 +181,7 @@
 		}
 		return "", ""
 	}
+	q.log.prefilled = time.Now()
 	q.router.observeRead(q.call.PromptTokens, time.Since(s.began))
 	return u.Address, handle
 }
@@ -182,6 +192,14 @@
 	r.table.ObserveRead(tokens, took)
 }
 
+// handleLifetime is how long the result of a prefill may be passed to a decode engine.
+func (q *request) handleLifetime() time.Duration {
+	if e := q.document.Services[q.service].Engine; e != nil {
+		return e.HandleLifetime - handleMargin
+	}
+	return 0
+}
+
 // free drops a prefill's result that no engine took.
 func (q *request) free(f Forwarding) {
 	if f.Handle == "" {
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -19,8 +19,10 @@
 	began      time.Time
 	firstEvent time.Duration
 	events     int
-	reason     string
-	sends      []string
+	// prefilled is when a prefill engine had read the prompt.
+	prefilled time.Time
+	reason    string
+	sends     []string
 	// charge is set when the customer's limit refused the request.
 	charge int64
 }
