--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -26,6 +26,7 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/http1"
+	"azuredoor.example/entry/order"
 	"azuredoor.example/entry/usage"
 	"azuredoor.example/entry/web"
 )
@@ -52,10 +53,14 @@
 	// RetryRatio is the share of a service's requests that may be sent again, RetrySlack how many more.
 	RetryRatio float64
 	RetrySlack int
+	// OrderPause is how long a new sender of orders waits after the one before it.
+	OrderPause time.Duration
 	LogLevel   string
 
 	Codec  web.Codec
 	Decode func(data []byte) (*document.Document, error)
+	// WriteOrder writes an order to an engine into a request; nil leaves engines' roles as they are.
+	WriteOrder func(request *fasthttp.Request, o order.Order) error
 	// Reload reads the settings again.
 	Reload func() (*WebConfig, error)
 	// SettingsFile is watched for changes; empty for none.
@@ -80,6 +85,7 @@
 	s.Period(&c.Revocation, "revocation", 5*time.Second, time.Second, time.Hour, "time after which a withdrawn key must not work")
 	s.Float64Var(&c.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
 	s.Count(&c.RetrySlack, "retry-slack", 40, 0, 1_000_000, "how many more may be sent again in 10 s")
+	s.Period(&c.OrderPause, "order-pause", 3*time.Second, time.Second, time.Minute, "time that a new sender of orders waits after the one before it")
 	s.Choice(&c.LogLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "lowest level that is logged")
 	s.Required("name", "ip", "listen", "ready-listen", "internal-ports", "seeds", "failure-domain")
 	return s
@@ -123,8 +129,10 @@
 	// retryPart is the part of the retry budget that the fleet uses; the rest covers entries that started again and
 	// forgot what they used.
 	retryPart = 0.7
-	// stopMargin is kept from the end of the grace period.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is kept from the end of the grace period: closing the session takes up to a second.
+	stopMargin = 1200 * time.Millisecond
+	// closeMargin bounds the wait for the load balancer's and scrapers' connections at the end.
+	closeMargin = 200 * time.Millisecond
 	// balancerNotices is the time in which the load balancer stops sending new connections after readiness ended.
 	balancerNotices = 3 * time.Second
 	stopPoll        = 50 * time.Millisecond
@@ -270,6 +278,9 @@
 	}
 	group.Go(func() error { return e.fleet.Run(ctx) })
 	group.Go(func() error { return e.limiter.Run(ctx) })
+	if e.config.WriteOrder != nil {
+		group.Go(func() error { return e.orders().Run(ctx) })
+	}
 	group.Go(func() error { return e.callers.Serve(callers) })
 	group.Go(func() error { return server.Serve(peers) })
 	for _, address := range []string{e.config.ReadyListen, e.config.MetricsListen} {
@@ -286,11 +297,29 @@
 		<-ctx.Done()
 		server.Stop()
 		e.callers.Close()
-		return monitor.Shutdown()
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeMargin)
+		defer cancel()
+		// An error means that connections were still open; they end with the process.
+		_ = monitor.ShutdownWithContext(closing)
+		return nil
 	})
 	return nil
 }
 
+// orders returns the controller of engines' roles.
+func (e *webEntry) orders() *order.Controller {
+	// Every entry sees when a change is wanted; the one that gets the lease plans again and sends the order.
+	watching := &order.Stages{Demand: e.router.Demand}
+	return order.New(order.Config{
+		Fleet: e.fleet, Sender: &order.HTTP{Dialer: net.Dialer{Timeout: order.DialTimeout}, Write: e.config.WriteOrder}, Events: e.events,
+		Plan:  func(time.Time, *control.View) order.Plans { return &order.Stages{Demand: e.router.Demand} },
+		Pause: e.config.OrderPause,
+		Wanted: func(now time.Time, view *control.View) bool {
+			return len(watching.Plan(now, view)) > 0 || watching.Pending()
+		},
+	})
+}
+
 // monitor answers the load balancer and metrics scrapers.
 func (e *webEntry) monitor(x *fasthttp.RequestCtx) {
 	switch string(x.Path()) {
--- a/entry/order/controller.go
+++ b/entry/order/controller.go
@@ -27,8 +27,22 @@
 	Send(ctx context.Context, o Order, guard func() bool) error
 }
 
+// Plans decides on orders.
+type Plans interface {
+	// Plan returns the orders to send now, at most one for each engine.
+	Plan(now time.Time, view *control.View) []Order
+	// Failed tells that an engine did not acknowledge an order.
+	Failed(now time.Time, o Order)
+}
+
 // Config configures a Controller.
 type Config struct {
+	// Plan makes the plans of a new holder of the lease; it defaults to a Planner.
+	Plan func(now time.Time, view *control.View) Plans
+	// Wanted, if set, says whether there is anything to order. The controller asks for no lease while there is not.
+	Wanted func(now time.Time, view *control.View) bool
+	// Pause is how long a new holder waits before its first order; it defaults to deliveryBound.
+	Pause  time.Duration
 	Fleet  Fleet
 	Sender Sender
 	Events *event.Logger
@@ -52,7 +66,7 @@
 type Controller struct {
 	config  Config
 	fence   uint64
-	planner *Planner
+	planner Plans
 	// quietUntil is when a new holder may send its first order.
 	quietUntil time.Time
 	sent       uint64
@@ -63,6 +77,12 @@
 	if c.Interval == 0 {
 		c.Interval = defaultInterval
 	}
+	if c.Plan == nil {
+		c.Plan = func(now time.Time, view *control.View) Plans { return NewPlanner(now, view.Config) }
+	}
+	if c.Pause == 0 {
+		c.Pause = deliveryBound
+	}
 	return &Controller{config: c}
 }
 
@@ -81,6 +101,9 @@
 }
 
 func (c *Controller) round(ctx context.Context) {
+	if c.config.Wanted != nil && !c.config.Wanted(time.Now(), c.config.Fleet.View()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	lease, err := c.config.Fleet.AcquireOrderLease(ctx)
@@ -91,8 +114,8 @@
 	now := time.Now()
 	if c.planner == nil || c.fence != lease.Fence {
 		c.fence = lease.Fence
-		c.planner = NewPlanner(now, c.config.Fleet.View().Config)
-		c.quietUntil = now.Add(deliveryBound)
+		c.planner = c.config.Plan(now, c.config.Fleet.View())
+		c.quietUntil = now.Add(c.config.Pause)
 		c.config.Events.Write(event.OrderLeaseHeld, func(e *log.Entry) { e.Uint64("fence", lease.Fence) })
 	}
 	if now.Before(c.quietUntil) {
--- a/entry/order/send.go
+++ b/entry/order/send.go
@@ -12,9 +12,11 @@
 	"github.com/valyala/fasthttp"
 )
 
-// HTTP sends orders as POST /v1/orders.
+// HTTP sends orders over HTTP.
 type HTTP struct {
 	Dialer net.Dialer
+	// Write writes an order into a request to its address; it defaults to POST /v1/orders with the order as JSON.
+	Write func(request *fasthttp.Request, o Order) error
 }
 
 // ErrLeaseEnding is returned when the guard forbids sending.
@@ -23,12 +25,8 @@
 // Send makes a fresh connection for each order. The whole order is one write, made right after the guard, so
 // that a process that was frozen while it prepared the order sends nothing.
 func (h *HTTP) Send(ctx context.Context, o Order, guard func() bool) error {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return eris.Wrap(err, "encode the order")
-	}
 	var message bytes.Buffer
-	if err := writeRequest(&message, o.Address, body); err != nil {
+	if err := h.writeRequest(&message, o); err != nil {
 		return err
 	}
 	conn, err := h.Dialer.DialContext(ctx, "tcp", o.Address)
@@ -50,14 +48,25 @@
 	return readAnswer(conn)
 }
 
-func writeRequest(message *bytes.Buffer, address string, body []byte) error {
+func (h *HTTP) writeRequest(message *bytes.Buffer, o Order) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + address + "/v1/orders")
+	request.Header.SetHost(o.Address)
+	request.Header.SetRequestURI("/v1/orders")
 	request.Header.SetContentType("application/json")
 	request.SetConnectionClose()
-	request.SetBody(body)
+	if h.Write != nil {
+		if err := h.Write(request, o); err != nil {
+			return eris.Wrap(err, "write the order")
+		}
+	} else {
+		body, err := json.Marshal(o)
+		if err != nil {
+			return eris.Wrap(err, "encode the order")
+		}
+		request.SetBody(body)
+	}
 	if _, err := request.WriteTo(message); err != nil {
 		return eris.Wrap(err, "write the order")
 	}
@@ -70,7 +79,7 @@
 	if err := response.ReadLimitBody(bufio.NewReader(conn), maxAnswerBytes); err != nil {
 		return eris.Wrap(err, "read the engine's answer")
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
+	if code := response.StatusCode(); code != fasthttp.StatusOK && code != fasthttp.StatusAccepted {
 		return eris.Errorf("the engine answered the order with status %d", response.StatusCode())
 	}
 	return nil
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -231,9 +231,14 @@
 }
 
 // learn takes the length of a whole answer into account.
-func (r *Router) learn(route string, tokens int) {
+func (r *Router) learn(q *request, tokens int, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.demands[q.service] == nil {
+		r.demands[q.service] = &place.Demand{}
+	}
+	r.demands[q.service].Add(q.call.PromptTokens, tokens, took)
+	route := q.route.Name
 	mean := r.lengths[route]
 	if mean == 0 {
 		mean = float64(tokens)
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -17,6 +17,7 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/http1"
+	"azuredoor.example/entry/order"
 	"azuredoor.example/entry/place"
 	"azuredoor.example/entry/retry"
 )
@@ -68,6 +69,8 @@
 	budgets map[string]*retry.Budget
 	// lengths is the average output of the generations of each route, in tokens.
 	lengths map[string]float64
+	// demands is what an average generation of each service asks of its engines.
+	demands map[string]*place.Demand
 	// returns is the work that was refused for want of room and is expected to return, by service.
 	returns map[string]*place.Returns
 	// freed is closed and replaced when an attempt ends or the upstreams change.
@@ -80,7 +83,7 @@
 func New(c Config) *Router {
 	return &Router{
 		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
-		lengths: map[string]float64{}, returns: map[string]*place.Returns{}, freed: make(chan struct{}), entries: 1,
+		lengths: map[string]float64{}, returns: map[string]*place.Returns{}, demands: map[string]*place.Demand{}, freed: make(chan struct{}), entries: 1,
 	}
 }
 
@@ -219,6 +222,22 @@
 	r.wake()
 }
 
+// Demand returns what an average generation of a service asks of its engines, and false while that is not known.
+func (r *Router) Demand(service string) (order.Demand, bool) {
+	view := r.config.Control.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.demands[service]
+	if d == nil || !d.Known() || view.Document == nil {
+		return order.Demand{}, false
+	}
+	s := view.Document.Services[service]
+	if s == nil || s.Engine == nil || s.Engine.CacheTokens == 0 {
+		return order.Demand{}, false
+	}
+	return order.Demand{Read: r.table.Reading(d.Prompt), Hold: time.Duration(float64(d.Room) / (float64(s.Engine.CacheTokens) * engineShare))}, true
+}
+
 // end counts the end of an attempt.
 func (r *Router) end(u place.Upstream, need place.Need, outcome place.Outcome) {
 	r.mu.Lock()
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -300,7 +300,7 @@
 			q.log.reason = err.Error()
 		}
 		if engine := q.document.Services[q.service].Engine; engine != nil {
-			q.router.learn(q.route.Name, q.log.events*engine.EventTokens)
+			q.router.learn(q, q.log.events*engine.EventTokens, time.Since(s.began))
 		}
 		return true
 	case q.x.Context.Err() != nil:
