--- a/entry/conn/pool.go
+++ b/entry/conn/pool.go
@@ -62,6 +62,20 @@
 	return l, nil
 }
 
+// Ensure makes sure that an open connection to an address is at hand.
+func (p *Pool) Ensure(ctx context.Context, address string, limit int) error {
+	l := p.take(address)
+	if l == nil {
+		var err error
+		if l, err = p.dial(ctx, address, limit); err != nil {
+			return &Error{Address: address, Err: err}
+		}
+		l.idleUntil = time.Now().Add(p.options.KeepAlive)
+	}
+	p.put(l)
+	return nil
+}
+
 // Open returns the number of open connections to an address.
 func (p *Pool) Open(address string) int {
 	p.mu.Lock()
--- a/entry/http1/server.go
+++ b/entry/http1/server.go
@@ -93,7 +93,7 @@
 		s.open.Add(1)
 		s.group.Go(func() error {
 			defer s.open.Add(-1)
-			s.serveConn(c.(*tcp.Conn)) //nolint:errcheck // the listener returns no other type
+			s.serveConn(c.(*tcp.Conn))
 			return nil
 		})
 	}
@@ -116,8 +116,10 @@
 // Draining says whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
-// Open and Active return the numbers of connections and of running requests.
-func (s *Server) Open() int64   { return s.open.Load() }
+// Open returns the number of connections.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Active returns the number of running requests.
 func (s *Server) Active() int64 { return s.active.Load() }
 
 // Close ends the running requests with ErrStopping, gives their answers time to leave and closes what is open.
--- a/entry/place/demand.go
+++ b/entry/place/demand.go
@@ -5,7 +5,7 @@
 const (
 	// demandGain is the weight of one generation in the averages, demandKnown how many make them known.
 	demandGain  = 0.05
-	demandKnown = 8
+	demandKnown = 20
 )
 
 // Demand averages what generations ask of engines.
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -88,8 +88,10 @@
 	// restart takes.
 	ejectFirst   = 400 * time.Millisecond
 	ejectLongest = 3200 * time.Millisecond
-	// brokenInARow is how many broken answers in a row eject an upstream.
-	brokenInARow = 3
+	// brokenInARow and refusedInARow are how many broken answers, or refusals, in a row eject an upstream. An engine that
+	// changes its role refuses all requests for seconds.
+	brokenInARow  = 3
+	refusedInARow = 2
 	// unheardPenalty makes an upstream whose announcements stopped a last choice.
 	unheardPenalty = 50
 )
@@ -103,7 +105,8 @@
 	// failing is the average of recent outcomes, 1 for a failure, at failedAt.
 	failing  float64
 	failedAt time.Time
-	row      int
+	// row counts broken answers in a row, refusals those without an answer in between.
+	row, refusals int
 	// ejections counts those without a success in between.
 	ejections int
 	ejected   time.Time
@@ -286,10 +289,14 @@
 	before := s.failure(now)
 	s.failing, s.failedAt = before+failureGain*(grade[outcome]-before), now
 	switch outcome {
-	case Served, Erred, Refused:
-		s.row, s.ejections = 0, 0
+	case Served, Erred:
+		s.row, s.refusals, s.ejections = 0, 0, 0
 		s.ejected = time.Time{}
 		return 0
+	case Refused:
+		if s.refusals++; s.refusals < refusedInARow {
+			return 0
+		}
 	case Broken:
 		if s.row++; s.row < brokenInARow {
 			return 0
--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -64,12 +64,28 @@
 	return &Budget{peers: map[uint64]*peer{}, floor: uint64(max(1, retries))}
 }
 
-// AllowOwn takes one retry from this entry's part of the budget, without what peers report: percent of its own requests,
-// and an equal part of the floor. All entries together stay within the budget whatever they know of each other.
-func (b *Budget) AllowOwn(now time.Time, percent float64, entries int) bool {
+// AllowShared takes one retry if the fleet stays within percent of its requests plus the floor. Peers are assumed to
+// have made as many retries as this entry since they last reported; one that reports no more counts with its part of
+// the floor.
+func (b *Budget) AllowShared(now time.Time, percent float64, entries int) bool {
 	b.own.advance(index(now))
 	requests, retries := b.own.sums()
-	if float64(retries+1) > float64(requests)*percent/100+float64(b.floor)/float64(max(1, entries)) {
+	recent := uint64(b.own.retries[b.own.at%slots])
+	room := float64(b.floor)
+	for session, p := range b.peers {
+		if now.Sub(p.seen) > Window {
+			delete(b.peers, session)
+			continue
+		}
+		p.advance(index(now))
+		q, r := p.sums()
+		requests += q
+		retries += r + recent
+	}
+	if silent := entries - 1 - len(b.peers); silent > 0 {
+		room -= float64(b.floor) * float64(silent) / float64(entries)
+	}
+	if float64(retries+1) > float64(requests)*percent/100+room {
 		return false
 	}
 	b.own.retries[b.own.at%slots]++
@@ -77,6 +93,12 @@
 	return true
 }
 
+// Total is what one entry reports of one service.
+type Total struct {
+	Service           string
+	Requests, Retries uint64
+}
+
 func index(now time.Time) int64 { return now.UnixNano() / int64(slot) }
 
 // Request counts a new request of this entry.
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -16,6 +16,7 @@
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/limit"
 	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/retry"
 )
 
 const (
@@ -50,10 +51,12 @@
 	conns map[uint64]*grpc.ClientConn
 }
 
-// Loads is what entries tell each other of the work at upstreams.
+// Loads is what entries tell each other of the work at upstreams and of requests that were sent again.
 type Loads interface {
 	Loads() []place.Load
 	Observe(session uint64, loads []place.Load)
+	Retries() []retry.Total
+	ObserveRetries(session uint64, totals []retry.Total)
 }
 
 // New returns a limiter; Run exchanges reports, which carry loads as well.
@@ -160,6 +163,9 @@
 			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests),
 		})
 	}
+	for _, t := range l.loads.Retries() {
+		report.Services = append(report.Services, &fleetpb.ServiceUse{Service: t.Service, Requests: t.Requests, Retries: t.Retries})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range l.meter.Report(time.Now()) {
@@ -178,6 +184,11 @@
 		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests)})
 	}
 	l.loads.Observe(session, loads)
+	totals := make([]retry.Total, 0, len(report.Services))
+	for _, s := range report.Services {
+		totals = append(totals, retry.Total{Service: s.Service, Requests: s.Requests, Retries: s.Retries})
+	}
+	l.loads.ObserveRetries(session, totals)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.meter.Observe(time.Now(), session, uses, l.control.View().Limit)
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"azuredoor.example/core/config"
@@ -156,7 +157,7 @@
 func (r *Router) allowRepeat(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).AllowOwn(time.Now(), r.config.RetryPercent, r.entries)
+	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.entries)
 }
 
 func (r *Router) countRequest(service string) {
@@ -201,7 +202,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return u, context.Cause(ctx)
+			return u, eris.Wrap(context.Cause(ctx), "wait for an upstream")
 		}
 		timer.Stop()
 	}
@@ -238,6 +239,28 @@
 	return order.Demand{Read: r.table.Reading(d.Prompt), Hold: time.Duration(float64(d.Room) / (float64(s.Engine.CacheTokens) * engineShare))}, true
 }
 
+// Retries implements usage.Loads.
+func (r *Router) Retries() []retry.Total {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	totals := make([]retry.Total, 0, len(r.budgets))
+	for service, b := range r.budgets {
+		requests, retries := b.Totals()
+		totals = append(totals, retry.Total{Service: service, Requests: requests, Retries: retries})
+	}
+	return totals
+}
+
+// ObserveRetries implements usage.Loads.
+func (r *Router) ObserveRetries(session uint64, totals []retry.Total) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range totals {
+		r.budget(t.Service).Peer(now, session, t.Requests, t.Retries)
+	}
+}
+
 // end counts the end of an attempt.
 func (r *Router) end(u place.Upstream, need place.Need, outcome place.Outcome) {
 	r.mu.Lock()
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -28,7 +28,9 @@
 	written bool
 	// prefill is set when only the prompt is to be read; the answer is for the router.
 	prefill bool
-	err     error
+	// handle names the result of a prefill.
+	handle string
+	err    error
 }
 
 // prepare makes the request for an upstream from the caller's.
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/place"
 )
 
@@ -26,6 +27,8 @@
 	maxEventBytes = 1 << 20
 	// handleMargin is kept from the end of a handle's life: the request must arrive before.
 	handleMargin = 60 * time.Millisecond
+	// maxPrefills bounds the prefill engines that one request is offered to.
+	maxPrefills = 2
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = 500 * time.Millisecond
 	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
@@ -126,6 +129,14 @@
 		f.Source, f.Handle = kept.Source, kept.Handle
 		forecast.HasSplit = true
 	} else if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
+		// A prompt is only read once the engine that goes on with it is known to be there.
+		if err := q.router.config.Pool.Ensure(q.ctx, u.Address, q.router.connections(q.document.Services[u.Service])); err != nil {
+			s := &send{upstream: u, need: q.need, began: time.Now(), err: err, outcome: place.Unreachable}
+			if q.ctx.Err() != nil || errors.Is(err, conn.ErrLimit) {
+				s.outcome = place.Cancelled
+			}
+			return s, nil
+		}
 		f.Source, f.Handle = q.prefill(forecast)
 		forecast.HasSplit = f.Handle != ""
 	}
@@ -158,32 +169,51 @@
 func (q *request) prefill(forecast place.Forecast) (source, handle string) {
 	need := q.need
 	need.Role, need.Work, need.Exclude = place.RolePrefill, max(1, q.call.PromptTokens), nil
-	u, err := q.router.pick(q.ctx, need, time.Now())
-	if err != nil {
+	for range maxPrefills {
+		s := q.prefillOn(&need, forecast)
+		if s == nil {
+			return "", ""
+		}
+		source, handle = s.upstream.Address, s.handle
+		s.release()
+		if handle != "" || !s.notRun() || !q.maySendAgain() {
+			break
+		}
+	}
+	if handle == "" {
 		return "", ""
 	}
+	return source, handle
+}
+
+// prefillOn lets one prefill engine read the prompt. It returns nil when there is none.
+func (q *request) prefillOn(need *place.Need, forecast place.Forecast) *send {
+	u, err := q.router.pick(q.ctx, *need, time.Now())
+	if err != nil {
+		return nil
+	}
+	need.Exclude = append(need.Exclude, u.ID)
 	bound := min(max(time.Millisecond, time.Until(q.deadline)), 3*forecast.Split+prefillSlack)
-	s := q.send(u, need, Forwarding{Prefill: true}, bound, false)
-	defer s.release()
+	s := q.send(u, *need, Forwarding{Prefill: true}, bound, false)
 	if s.err == nil && s.outcome == place.Served && s.response.StatusCode() == fasthttp.StatusOK {
-		if handle, err = q.router.config.Codec.ReadHandle(s.response.Body()); err != nil {
+		if s.handle, err = q.router.config.Codec.ReadHandle(s.response.Body()); err != nil {
 			s.outcome, s.err = place.Broken, err
 		}
 	} else if s.outcome == place.Served {
 		s.outcome = place.Erred
 	}
-	q.router.end(u, need, s.outcome)
+	q.router.end(u, *need, s.outcome)
 	q.log.add(s)
-	if handle == "" {
+	if s.handle == "" {
 		// A prefill that was sent counts as a send; one that was accepted does not.
 		if s.written {
 			q.sends++
 		}
-		return "", ""
+		return s
 	}
 	q.log.prefilled = time.Now()
 	q.router.observeRead(q.call.PromptTokens, time.Since(s.began))
-	return u.Address, handle
+	return s
 }
 
 func (r *Router) observeRead(tokens int, took time.Duration) {
@@ -320,9 +350,9 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
 			continue
-		case err == io.EOF && len(event) == 0: //nolint:errorlint // bufio returns io.EOF bare
+		case err == io.EOF && len(event) == 0:
 			return nil, io.EOF
-		case err == io.EOF: //nolint:errorlint // bufio returns io.EOF bare
+		case err == io.EOF:
 			return nil, errCut
 		case err != nil:
 			return nil, eris.Wrap(err, "read an event")
