--- a/control/member/peer.go
+++ b/control/member/peer.go
@@ -36,9 +36,11 @@
 	id        uint64
 	address   string
 	transport *transport
-	cancel    context.CancelFunc
-	queue     chan *fleetpb.ConsensusMessage
-	conn      atomic.Pointer[grpc.ClientConn]
+	// learned is set while no membership names the peer. The transport's lock guards it.
+	learned bool
+	cancel  context.CancelFunc
+	queue   chan *fleetpb.ConsensusMessage
+	conn    atomic.Pointer[grpc.ClientConn]
 	// answer is the last answer to a probe.
 	answer atomic.Pointer[probeAnswer]
 }
--- a/control/member/transport.go
+++ b/control/member/transport.go
@@ -48,8 +48,13 @@
 		return
 	}
 	t.membership = membership
-	for id := range t.peers {
-		if len(membership.GetMembers()) > 0 && find(membership, id) == nil {
+	for id, p := range t.peers {
+		if len(membership.GetMembers()) == 0 {
+			break
+		}
+		known := find(membership, id) != nil
+		p.learned = p.learned && !known
+		if !known && (!p.learned || removed(membership, id)) {
 			t.drop(id)
 		}
 	}
@@ -59,12 +64,16 @@
 }
 
 // learn makes a member known that sent a message before its membership entry arrived, so that it can be
-// answered.
+// answered. It stays known until a membership names or removes it: a snapshot may hold an older membership than the one
+// in force.
 func (t *transport) learn(id uint64, address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ctx != nil && t.peers[id] == nil && find(t.membership, id) == nil && !removed(t.membership, id) {
 		t.connect(id, address)
+		if p := t.peers[id]; p != nil {
+			p.learned = true
+		}
 	}
 }
 
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -99,7 +100,14 @@
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { return s.member.Run(running) })
 	group.Go(func() error { return s.fleet.Run(running) })
-	group.Go(func() error { return eris.Wrap(s.grpc.Serve(s.config.Listener), "serve other processes") })
+	group.Go(func() error {
+		err := s.grpc.Serve(s.config.Listener)
+		if errors.Is(err, grpc.ErrServerStopped) {
+			// The stop came before the server began.
+			return nil
+		}
+		return eris.Wrap(err, "serve other processes")
+	})
 	if s.admin != nil {
 		group.Go(func() error { return s.admin.Serve(s.config.AdminListener) })
 	}
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -24,7 +24,6 @@
 	DocumentApplied
 	EntryReloaded
 	UpstreamEjected
-	UpstreamRestored
 	UpstreamChanged
 	ConnectionEnded
 	ReadinessChanged
@@ -51,7 +50,6 @@
 	DocumentApplied:     {log.InfoLevel, "a configuration document is in force"},
 	EntryReloaded:       {log.InfoLevel, "settings reloaded"},
 	UpstreamEjected:     {log.WarnLevel, "an upstream gets no requests for a while after failures"},
-	UpstreamRestored:    {log.InfoLevel, "an upstream gets requests again"},
 	UpstreamChanged:     {log.InfoLevel, "an upstream came, changed or left"},
 	ConnectionEnded:     {log.InfoLevel, "connections of callers ended without an answer"},
 	ReadinessChanged:    {log.InfoLevel, "readiness changed"},
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -158,8 +158,10 @@
 	callers *http1.Server
 	pool    *conn.Pool
 	// seeds are the members that the newest settings name.
-	seeds      atomic.Pointer[[]string]
-	stopping   atomic.Bool
+	seeds    atomic.Pointer[[]string]
+	stopping atomic.Bool
+	// ready is what the load balancer was told last.
+	ready      atomic.Bool
 	background errgroup.Group
 }
 
@@ -324,7 +326,13 @@
 func (e *webEntry) monitor(x *fasthttp.RequestCtx) {
 	switch string(x.Path()) {
 	case e.config.ReadyPath:
-		if e.stopping.Load() || !e.router.Ready() {
+		ready := !e.stopping.Load() && e.router.Ready()
+		if e.ready.Swap(ready) != ready {
+			e.events.Write(event.ReadinessChanged, func(l *log.Entry) {
+				l.Bool("ready", ready).Bool("stopping", e.stopping.Load()).Int64("viewAgeMs", e.fleet.Age().Milliseconds())
+			})
+		}
+		if !ready {
 			x.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case "/metrics":
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -76,8 +76,11 @@
 	returns map[string]*place.Returns
 	// freed is closed and replaced when an attempt ends or the upstreams change.
 	freed chan struct{}
-	// addresses and entries follow the view.
+	// entries is the number of entries in the view.
 	entries int
+
+	// seen is the view of the last call of OnChange, which has one caller.
+	seen *control.View
 }
 
 // New returns a router without upstreams.
@@ -110,6 +113,7 @@
 		}
 		upstreams = append(upstreams, one)
 	}
+	r.logChanges(view)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Set(upstreams)
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -10,7 +10,9 @@
 	"github.com/valyala/fasthttp"
 
 	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/entry/conn"
+	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/place"
 )
 
@@ -127,3 +129,28 @@
 		r.config.Events.Write(event.HandleNotFreed, func(e *log.Entry) { e.Str("address", address).Err(err) })
 	}
 }
+
+// logChanges writes a line for each upstream that came, changed or left since the last view.
+func (r *Router) logChanges(view *control.View) {
+	before := map[string]*fleetpb.Upstream{}
+	if r.seen != nil {
+		before = r.seen.Upstreams
+	}
+	write := func(u *fleetpb.Upstream, state string) {
+		r.config.Events.Write(event.UpstreamChanged, func(e *log.Entry) {
+			e.Str("upstream", u.Id).Uint64("incarnation", u.Incarnation).Uint64("sequence", u.Sequence).Str("address", u.Address).
+				Str("service", u.Pool).Str("role", u.Role).Str("state", state).Uint64("viewIndex", view.Index)
+		})
+	}
+	for id, u := range view.Upstreams {
+		if u != before[id] {
+			write(u, u.State.String())
+		}
+	}
+	for id, u := range before {
+		if view.Upstreams[id] == nil {
+			write(u, "forgotten")
+		}
+	}
+	r.seen = view
+}
