--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build lint test ci demo bench capacity clean
 
 build:
-	CGO_ENABLED=1 go build -o bin/ ./entry/cmd/... ./control/cmd/... ./ctl/cmd/... ./standin/cmd/... ./bench/cmd/...
+	CGO_ENABLED=1 go build -o bin/ ./entry/cmd/... ./control/cmd/... ./ctl/cmd/... ./standin/cmd/... ./bench/cmd/... ./platform/cmd/...
 
 lint:
 	tools/install.sh
--- a/bench/cmd/azuredoor-bench/settings_test.go
+++ b/bench/cmd/azuredoor-bench/settings_test.go
@@ -41,6 +41,7 @@
 	list := []program{
 		{"azuredoor-entry", "AZUREDOOR_ENTRY", ""}, {"azuredoor-control", "AZUREDOOR_CONTROL", ""},
 		{"azuredoorctl", "AZUREDOOR_CTL", ""}, {"azuredoor-standin", "AZUREDOOR_STANDIN", ""},
+		{"azuredoor-platform-entry", "AZUREDOOR_WEB", ""}, {"azuredoor-platform-control", "AZUREDOOR_GROUP", ""},
 	}
 	for _, command := range slices.Sorted(maps.Keys(commands)) {
 		list = append(list, program{"azuredoor-bench", "AZUREDOOR_BENCH", command})
@@ -52,7 +53,7 @@
 // programs have.
 func TestSettingsPage(t *testing.T) {
 	dir := t.TempDir()
-	build := exec.Command("go", "build", "-o", dir+"/", "./entry/cmd/...", "./control/cmd/...", "./ctl/cmd/...", "./standin/cmd/...", "./bench/cmd/...")
+	build := exec.Command("go", "build", "-o", dir+"/", "./entry/cmd/...", "./control/cmd/...", "./ctl/cmd/...", "./standin/cmd/...", "./bench/cmd/...", "./platform/cmd/...")
 	build.Dir = "../../.."
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build the programs: %v\n%s", err, out)
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -53,11 +53,14 @@
 	SettingsFile string
 	// Serve answers operators and upstreams until the context ends.
 	Serve func(ctx context.Context, listener net.Listener, s *server.Server, events *event.Logger) error
+
+	program string
 }
 
-// Settings returns the flags that fill the configuration.
-func (c *Config) Settings() *settings.Set {
-	s := settings.New("azuredoor-group-member", "AZUREDOOR_GROUP")
+// Settings returns the flags of a program that fill the configuration.
+func (c *Config) Settings(program string) *settings.Set {
+	c.program = program
+	s := settings.New(program, "AZUREDOOR_GROUP")
 	s.Text(&c.Name, "name", "", "name of this member, unique in the group")
 	s.Text(&c.IP, "ip", "", "IP number of this VM")
 	s.Text(&c.FailureDomain, "failure-domain", "", "failure domain of this VM")
@@ -114,7 +117,7 @@
 // Main runs the process until a signal and returns its exit code.
 func Main(c *Config) int {
 	events := event.New(event.Options{
-		Writer: os.Stdout, Level: c.LogLevel, Program: "azuredoor-group-member", Name: c.Name, Queue: logQueue, PerSecond: logPerSecond,
+		Writer: os.Stdout, Level: c.LogLevel, Program: c.program, Name: c.Name, Queue: logQueue, PerSecond: logPerSecond,
 	})
 	debug.SetMemoryLimit(int64(float64(c.MemoryMegabytes) * memoryShare * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/control/member/repair_test.go
+++ b/control/member/repair_test.go
@@ -41,7 +41,7 @@
 
 // TestFounderID guards against founders that expect each other under different IDs.
 func TestFounderID(t *testing.T) {
-	if FounderID("10.0.0.1:7500") != FounderID("10.0.0.1:7500") || FounderID("10.0.0.1:7500") == FounderID("10.0.0.2:7500") || FounderID("x") == 0 {
-		t.Error("want one ID for each address, the same in all processes")
+	if got, want := FounderID("10.0.0.1:7500"), uint64(0); got == want || got == FounderID("10.0.0.2:7500") {
+		t.Errorf("got %x, want an ID other than 0, and another one for each address", got)
 	}
 }
--- a/core/settings/file_test.go
+++ b/core/settings/file_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // TestFile guards against settings of a file that are lost, or that win over flags.
@@ -55,8 +57,8 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	changed := make(chan struct{}, 8)
-	done := make(chan error, 1)
-	go func() { done <- Watch(ctx, path, 5*time.Millisecond, func() { changed <- struct{}{} }) }()
+	var group errgroup.Group
+	group.Go(func() error { return Watch(ctx, path, 5*time.Millisecond, func() { changed <- struct{}{} }) })
 	wait := func(what string) {
 		t.Helper()
 		select {
@@ -75,7 +77,7 @@
 	}
 	wait("signal")
 	cancel()
-	if err := <-done; err != nil {
+	if err := group.Wait(); err != nil {
 		t.Errorf("got %v, want no error at the end", err)
 	}
 }
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -65,11 +65,14 @@
 	Reload func() (*WebConfig, error)
 	// SettingsFile is watched for changes; empty for none.
 	SettingsFile string
+
+	program string
 }
 
-// Settings returns the flags that fill the configuration.
-func (c *WebConfig) Settings() *settings.Set {
-	s := settings.New("azuredoor-web-entry", "AZUREDOOR_WEB")
+// Settings returns the flags of a program that fill the configuration.
+func (c *WebConfig) Settings(program string) *settings.Set {
+	c.program = program
+	s := settings.New(program, "AZUREDOOR_WEB")
 	s.Text(&c.Name, "name", "", "name of this entry, unique in the fleet")
 	s.Text(&c.IP, "ip", "", "IP number of this VM")
 	s.Text(&c.FailureDomain, "failure-domain", "", "failure domain of this VM")
@@ -168,7 +171,7 @@
 // MainWeb runs the entry until a signal and returns its exit code.
 func MainWeb(c *WebConfig) int {
 	events := event.New(event.Options{
-		Writer: os.Stdout, Level: c.LogLevel, Program: "azuredoor-web-entry", Name: c.Name, Queue: logQueue, PerSecond: logPerSecond,
+		Writer: os.Stdout, Level: c.LogLevel, Program: c.program, Name: c.Name, Queue: logQueue, PerSecond: logPerSecond,
 	})
 	debug.SetMemoryLimit(int64(float64(c.MemoryMegabytes) * memoryShare * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/entry/limit/meter_test.go
@@ -0,0 +1,185 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"azuredoor.example/core/config"
+)
+
+// meterFleet plays entries that exchange reports at intervals.
+type meterFleet struct {
+	meters []*Meter
+	now    time.Time
+	limit  config.Limit
+}
+
+func newMeterFleet(n int, l config.Limit) *meterFleet {
+	f := &meterFleet{now: time.Unix(1000, 0), limit: l}
+	for range n {
+		f.meters = append(f.meters, NewMeter())
+	}
+	f.join()
+	return f
+}
+
+func (f *meterFleet) join() {
+	for i, m := range f.meters {
+		var peers []uint64
+		for j := range f.meters {
+			if j != i {
+				peers = append(peers, uint64(j))
+			}
+		}
+		m.SetPeers(f.now, peers)
+	}
+}
+
+// exchange lets all pairs of entries exchange reports, except those that cut separates.
+func (f *meterFleet) exchange(cut func(a, b int) bool) {
+	limits := func(string) (config.Limit, bool) { return f.limit, true }
+	for i, a := range f.meters {
+		for j, b := range f.meters {
+			if i != j && (cut == nil || !cut(i, j)) {
+				b.Observe(f.now, uint64(i), a.Report(f.now), limits)
+			}
+		}
+	}
+}
+
+// TestMeterHoldsTheRate guards against a customer that gets more than its rate by sending through all entries, also while
+// entries do not hear from each other, and against one within its rate that is refused.
+func TestMeterHoldsTheRate(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 20_000, BurstTokens: 20_000}
+	const entries, step, exchange = 4, 10 * time.Millisecond, 200 * time.Millisecond
+	for name, test := range map[string]struct {
+		demand float64 // in multiples of the rate
+		cut    func(a, b int) bool
+		// most is the bound on what is admitted beyond rate and burst in any window: what four entries admit within two
+		// exchanges, and one request of each.
+		most float64
+		// least is the part of the demand, or of the rate, that must be admitted.
+		least float64
+	}{
+		"within the rate":             {0.7, nil, 0, 1},
+		"five times the rate":         {5, nil, 5*20_000*0.4 + 4*9_000, 0.95},
+		"five times, two halves":      {5, func(a, b int) bool { return a/2 != b/2 }, 5*20_000*1.4 + 4*9_000, 0.95},
+		"five times, all by itself":   {5, func(int, int) bool { return true }, 5*20_000*1.4 + 4*9_000, 0.95},
+		"within the rate, two halves": {0.4, func(a, b int) bool { return a/2 != b/2 }, 0, 0.95},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			f := newMeterFleet(entries, l)
+			const seconds = 30
+			type admitted struct{ at, tokens float64 }
+			var all []admitted
+			asked, got := 0.0, 0.0
+			perStep := test.demand * float64(l.TokensPerSecond) * step.Seconds()
+			owed := 0.0
+			for i := range int(seconds * time.Second / step) {
+				f.now = f.now.Add(step)
+				for owed += perStep; owed > 0; {
+					tokens := int64(200)
+					if r.IntN(3) == 0 {
+						tokens = 3000 + r.Int64N(6000)
+					}
+					owed -= float64(tokens)
+					asked += float64(tokens)
+					if ok, _ := f.meters[r.IntN(entries)].Take(f.now, "c", l, tokens); ok {
+						got += float64(tokens)
+						all = append(all, admitted{float64(i) * step.Seconds(), float64(tokens)})
+					}
+				}
+				if time.Duration(i)*step%exchange == 0 {
+					f.exchange(test.cut)
+				}
+			}
+			const window = 8.0
+			for i := range all {
+				sum := 0.0
+				for j := i; j < len(all) && all[j].at < all[i].at+window; j++ {
+					sum += all[j].tokens
+				}
+				if most := window*float64(l.TokensPerSecond) + float64(l.BurstTokens) + test.most; sum > most {
+					t.Fatalf("got %.0f tokens admitted within %v s, want at most %.0f", sum, window, most)
+				}
+			}
+			if want := min(asked, seconds*float64(l.TokensPerSecond)) * test.least; got < want {
+				t.Errorf("got %.0f of %.0f tokens admitted, want at least %.0f", got, asked, want)
+			}
+		})
+	}
+}
+
+// TestMeterServesAllSizes guards against small requests of a customer that starve its large ones.
+func TestMeterServesAllSizes(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 20_000, BurstTokens: 20_000}
+	m := NewMeter()
+	m.SetPeers(time.Unix(0, 0), nil)
+	asked, got := map[int64]int{}, map[int64]int{}
+	for i := range 6000 {
+		tokens := int64(200)
+		if i%5 == 0 {
+			tokens = 9000
+		}
+		asked[tokens]++
+		if ok, _ := m.Take(time.Unix(0, 0).Add(time.Duration(i)*5*time.Millisecond), "c", l, tokens); ok {
+			got[tokens]++
+		}
+	}
+	small, large := float64(got[200])/float64(asked[200]), float64(got[9000])/float64(asked[9000])
+	if large < small/2 {
+		t.Errorf("got %.2f of the large and %.2f of the small requests admitted, want about the same part", large, small)
+	}
+}
+
+// TestMeterRetryAfter guards against callers that are told to return together, or before there is room.
+func TestMeterRetryAfter(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1000, BurstTokens: 1000}
+	now := time.Unix(0, 0)
+	m := NewMeter()
+	m.SetPeers(now, nil)
+	if ok, _ := m.Take(now, "c", l, 3000); !ok {
+		t.Fatal("the first request was refused")
+	}
+	var last time.Duration
+	for i := range 3 {
+		ok, wait := m.Take(now, "c", l, 500)
+		if ok || wait < 2*time.Second || wait <= last {
+			t.Errorf("refusal %d: got %v, %v, want a refusal until the debt is paid, later than %v", i, ok, wait, last)
+		}
+		last = wait
+	}
+}
+
+// TestMeterRestart guards against an entry that starts again and knows nothing of what its customers have used.
+func TestMeterRestart(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1000, BurstTokens: 50_000}
+	f := newMeterFleet(2, l)
+	for f.meters[0].bucket(f.now, "c", l).level > 0 {
+		f.meters[0].Take(f.now, "c", l, 10_000)
+	}
+	f.exchange(nil)
+	f.meters[1] = NewMeter()
+	f.join()
+	f.exchange(nil)
+	if ok, _ := f.meters[1].Take(f.now, "c", l, 1000); ok {
+		t.Error("the new entry admitted a request of a customer that has used up its limit")
+	}
+}
+
+// TestMeterRefund guards against requests that did not run and still use up the limit.
+func TestMeterRefund(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
+	m := NewMeter()
+	now := time.Unix(0, 0)
+	m.SetPeers(now, nil)
+	for i := range 50 {
+		if ok, _ := m.Take(now, "c", l, 900); !ok {
+			t.Fatal(fmt.Sprint("refused after refunds: request ", i))
+		}
+		m.Refund(now, "c", l, 900)
+	}
+}
--- a/entry/order/stages.go
+++ b/entry/order/stages.go
@@ -113,7 +113,8 @@
 
 // step returns 1 when one more prefill engine serves enough more generations, -1 when one fewer does, and 0 otherwise.
 func step(prefill, decode int, d Demand) int {
-	if d.Read <= 0 || d.Hold <= 0 {
+	// A service whose engines all have one stage was set up without the other one.
+	if d.Read <= 0 || d.Hold <= 0 || prefill == 0 || decode == 0 {
 		return 0
 	}
 	now := rate(prefill, decode, d)
--- /dev/null
+++ b/entry/place/place_test.go
@@ -0,0 +1,297 @@
+package place
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func service(id, domain string, capacity int) Upstream {
+	return Upstream{ID: id, Address: id + ":1", Service: "s", FailureDomain: domain, Incarnation: 1, Accepts: true, Heard: true, Capacity: capacity}
+}
+
+// TestPick guards against requests that go to an upstream that leaves, is full, was tried, fell silent or serves something
+// else, while a better one is there.
+func TestPick(t *testing.T) {
+	need := Need{Service: "s", Work: 1, FailureDomain: "near"}
+	for name, test := range map[string]struct {
+		upstreams []Upstream
+		prepare   func(table *Table)
+		need      Need
+		want      string
+		wantErr   error
+	}{
+		"near first":          {[]Upstream{service("a", "far", 0), service("b", "near", 0)}, nil, need, "b", nil},
+		"leaving":             {[]Upstream{{ID: "a", Service: "s", Heard: true}, service("b", "far", 0)}, nil, need, "b", nil},
+		"only leaving":        {[]Upstream{{ID: "a", Service: "s", Heard: true}}, nil, need, "", ErrNone},
+		"silent last":         {[]Upstream{{ID: "a", Service: "s", Accepts: true, FailureDomain: "near"}, service("b", "far", 0)}, nil, need, "b", nil},
+		"silent, if no other": {[]Upstream{{ID: "a", Service: "s", Accepts: true}}, nil, need, "a", nil},
+		"other service":       {[]Upstream{{ID: "a", Service: "z", Accepts: true, Heard: true}}, nil, need, "", ErrNone},
+		"excluded":            {[]Upstream{service("a", "near", 0), service("b", "far", 0)}, nil, Need{Service: "s", Work: 1, Exclude: []string{"a"}}, "b", nil},
+		"full": {[]Upstream{service("a", "near", 2)}, func(t *Table) {
+			for range 2 {
+				_, _ = t.Pick(epoch, need)
+			}
+		}, need, "", ErrBusy},
+		"full by other entries": {[]Upstream{service("a", "near", 10), service("b", "far", 10)}, func(t *Table) {
+			t.Observe(7, []Load{{ID: "a", Incarnation: 1, Work: 10, Requests: 2}})
+		}, need, "b", nil},
+		"another incarnation's load": {[]Upstream{service("a", "near", 10), service("b", "far", 10)}, func(t *Table) {
+			t.Observe(7, []Load{{ID: "a", Incarnation: 9, Work: 10, Requests: 2}})
+		}, need, "a", nil},
+		"ejected": {[]Upstream{service("a", "near", 0), service("b", "far", 0)}, func(t *Table) {
+			t.End(epoch, service("a", "near", 0), need, Unreachable)
+		}, need, "b", nil},
+		"all ejected": {[]Upstream{service("a", "near", 0)}, func(t *Table) {
+			t.End(epoch, service("a", "near", 0), need, Unreachable)
+		}, need, "a", nil},
+		"larger than all": {[]Upstream{service("a", "near", 10)}, nil, Need{Service: "s", Work: 50}, "a", nil},
+	} {
+		table := NewTable(0)
+		table.Set(test.upstreams)
+		if test.prepare != nil {
+			test.prepare(table)
+		}
+		got, err := table.Pick(epoch, test.need)
+		if got.ID != test.want || !errors.Is(err, test.wantErr) {
+			t.Errorf("%s: got %q, %v, want %q, %v", name, got.ID, err, test.want, test.wantErr)
+		}
+	}
+}
+
+// TestEjection guards against upstreams that get requests although they cannot be reached, refuse everything or break
+// answers, and against ones that stay out after they recovered.
+func TestEjection(t *testing.T) {
+	u, need := service("a", "d", 0), Need{Service: "s", Work: 1}
+	for name, test := range map[string]struct {
+		outcomes []Outcome
+		want     bool
+	}{
+		"unreachable once":       {[]Outcome{Unreachable}, true},
+		"replaced once":          {[]Outcome{Replaced}, true},
+		"broken once":            {[]Outcome{Broken}, false},
+		"broken in a row":        {[]Outcome{Broken, Broken, Broken}, true},
+		"broken, served between": {[]Outcome{Broken, Broken, Served, Broken}, false},
+		"refused once":           {[]Outcome{Refused}, false},
+		"refused in a row":       {[]Outcome{Refused, Refused}, true},
+		"failures of its own":    {[]Outcome{Erred, Erred, Erred, Erred}, false},
+		"callers that left":      {[]Outcome{Cancelled, Cancelled, Cancelled}, false},
+	} {
+		table := NewTable(0)
+		table.Set([]Upstream{u})
+		got := false
+		for _, o := range test.outcomes {
+			got = table.End(epoch, u, need, o) > 0
+		}
+		if got != test.want {
+			t.Errorf("%s: got ejected %v, want %v", name, got, test.want)
+		}
+	}
+	table := NewTable(0)
+	table.Set([]Upstream{u})
+	now := epoch
+	var last time.Duration
+	for range 6 {
+		d := table.End(now, u, need, Unreachable)
+		if d < last || d > ejectLongest {
+			t.Errorf("got ejected for %v after %v, want longer each time, at most %v", d, last, ejectLongest)
+		}
+		last = d
+		now = now.Add(d)
+	}
+	table.End(now, u, need, Served)
+	if got := table.End(now, u, need, Unreachable); got != ejectFirst {
+		t.Errorf("after it served again: got %v, want %v", got, ejectFirst)
+	}
+}
+
+// TestFailingUpstreamGetsLess guards against an upstream that fails part of its requests while it announces itself and
+// gets as many as the others.
+func TestFailingUpstreamGetsLess(t *testing.T) {
+	table := NewTable(0)
+	upstreams := []Upstream{service("a", "d", 0), service("b", "d", 0), service("grey", "d", 0)}
+	table.Set(upstreams)
+	r := rand.New(rand.NewPCG(3, 4))
+	got := map[string]int{}
+	now := epoch
+	need := Need{Service: "s", Work: 1}
+	for range 3000 {
+		now = now.Add(15 * time.Millisecond)
+		u, err := table.Pick(now, need)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[u.ID]++
+		outcome := Served
+		if u.ID == "grey" && r.IntN(100) < 45 {
+			outcome = Broken
+		}
+		table.End(now, u, need, outcome)
+	}
+	if got["grey"] > 600 || got["grey"] == 0 {
+		t.Errorf("got %v, want the failing upstream to get some, but less than a fifth", got)
+	}
+	if got["a"] < 800 || got["b"] < 800 {
+		t.Errorf("got %v, want the others to share the rest", got)
+	}
+}
+
+// burst plays generations that four entries place on six decode engines, and counts those that an engine would have had to
+// stop and read again because its memory ran out.
+func burst(t *testing.T, exchange bool) (served, refused, stopped int) {
+	t.Helper()
+	const (
+		entries, engines = 4, 6
+		memory           = 107_000
+		prompt, output   = 5200, 5000
+		hold             = 3500 * time.Millisecond
+		perSecond        = 21
+		step             = 10 * time.Millisecond
+		share            = 0.93
+	)
+	r := rand.New(rand.NewPCG(5, 6))
+	var tables []*Table
+	var upstreams []Upstream
+	for i := range engines {
+		u := service(string(rune('a'+i)), "d", int(memory*share))
+		u.Role = RoleDecode
+		upstreams = append(upstreams, u)
+	}
+	for i := range entries {
+		table := NewTable(i)
+		table.Set(upstreams)
+		tables = append(tables, table)
+	}
+	type run struct {
+		entry   int
+		u       Upstream
+		need    Need
+		began   time.Time
+		prompt  int
+		output  int
+		stopped bool
+	}
+	var running []*run
+	now, owed := epoch, 0.0
+	for i := range 1500 {
+		now = now.Add(step)
+		kept := running[:0]
+		for _, one := range running {
+			if now.Sub(one.began) >= hold {
+				tables[one.entry].End(now, one.u, one.need, Served)
+				served++
+				continue
+			}
+			kept = append(kept, one)
+		}
+		running = kept
+		for owed += perSecond * step.Seconds(); owed >= 1; owed-- {
+			// The load balancer sends a third of the callers to one entry.
+			entry := max(0, r.IntN(entries+2)-2)
+			p, o := prompt/2+r.IntN(prompt), output/2+r.IntN(output)
+			need := Need{Service: "s", Role: RoleDecode, Work: p + output*7/10}
+			u, err := tables[entry].Pick(now, need)
+			if err != nil {
+				refused++
+				continue
+			}
+			running = append(running, &run{entry: entry, u: u, need: need, began: now, prompt: p, output: o})
+		}
+		if exchange && i%20 == 0 {
+			for a, from := range tables {
+				for b, to := range tables {
+					if a != b {
+						to.Observe(uint64(a), from.Loads())
+					}
+				}
+			}
+		}
+		used := map[string]int{}
+		for _, one := range running {
+			used[one.u.ID] += one.prompt + int(float64(one.output)*now.Sub(one.began).Seconds()/hold.Seconds())
+			if used[one.u.ID] > memory && !one.stopped {
+				one.stopped = true
+				stopped++
+			}
+		}
+	}
+	return served, refused, stopped
+}
+
+// TestBurstStaysInMemory guards against entries that fill engines beyond their memory in a burst because each one only
+// knows its own requests: the engines then stop answers midway and read their prompts again.
+func TestBurstStaysInMemory(t *testing.T) {
+	served, refused, stopped := burst(t, true)
+	_, _, alone := burst(t, false)
+	if stopped > served/50 {
+		t.Errorf("got %d of %d answers stopped midway, want at most 1 in 50", stopped, served)
+	}
+	if alone < 5*max(1, stopped) {
+		t.Errorf("got %d stopped without the exchange and %d with it, want the exchange to matter", alone, stopped)
+	}
+	if refused > served/4 {
+		t.Errorf("got %d refused and %d served, want most of a burst of twice the usual load served", refused, served)
+	}
+}
+
+// TestSeparate guards against prompts that are read on decode engines and delay the streams there, against results that
+// are moved without need, and against prompts that wait behind a long line of others.
+func TestSeparate(t *testing.T) {
+	const target = 900 * time.Millisecond
+	for name, test := range map[string]struct {
+		f    Forecast
+		want bool
+	}{
+		"no prefill engine":     {Forecast{Direct: 200 * time.Millisecond}, false},
+		"idle decode engine":    {Forecast{Direct: 200 * time.Millisecond, Split: 100 * time.Millisecond, HasSplit: true, Alone: true}, false},
+		"idle, long prompt":     {Forecast{Direct: 500 * time.Millisecond, Split: 250 * time.Millisecond, HasSplit: true, Alone: true}, true},
+		"streams there":         {Forecast{Direct: 200 * time.Millisecond, Split: 100 * time.Millisecond, HasSplit: true}, true},
+		"streams there, slower": {Forecast{Direct: 200 * time.Millisecond, Split: 600 * time.Millisecond, HasSplit: true}, true},
+		"long line":             {Forecast{Direct: 200 * time.Millisecond, Split: 1200 * time.Millisecond, HasSplit: true}, false},
+	} {
+		if got := test.f.Separate(target); got != test.want {
+			t.Errorf("%s: got %v, want %v", name, got, test.want)
+		}
+	}
+}
+
+// TestReturns guards against refused callers that all return at once, or after they have left.
+func TestReturns(t *testing.T) {
+	var r Returns
+	now := epoch
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		r.Ended(now)
+	}
+	var last time.Duration
+	for i := range 60 {
+		got := r.Refused(now)
+		if got < last || got < shortestReturn || got > longestReturn {
+			t.Fatalf("refusal %d: got %v after %v, want later ones within %v to %v", i, got, last, shortestReturn, longestReturn)
+		}
+		last = got
+	}
+	if last != longestReturn {
+		t.Errorf("got %v for the 60th caller at 10 ends a second, want %v", last, longestReturn)
+	}
+	if got := r.Refused(now.Add(time.Minute)); got != shortestReturn {
+		t.Errorf("got %v after a quiet minute, want %v", got, shortestReturn)
+	}
+}
+
+// TestDemand guards against roles that are planned from a single generation.
+func TestDemand(t *testing.T) {
+	var d Demand
+	for i := range demandKnown {
+		if d.Known() {
+			t.Fatalf("known after %d generations, want %d", i, demandKnown)
+		}
+		d.Add(5000, 4000, 3*time.Second)
+	}
+	if want := 7000 * float64(3*time.Second); !d.Known() || d.Prompt != 5000 || d.Room < want*0.99 || d.Room > want*1.01 {
+		t.Errorf("got %+v, want 5000 prompt tokens and room %v", d, want)
+	}
+}
--- /dev/null
+++ b/entry/usage/usage_test.go
@@ -0,0 +1,104 @@
+package usage
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
+	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/fleetrpc"
+	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/retry"
+)
+
+type fakeControl struct {
+	view *control.View
+	id   uint64
+}
+
+func (f *fakeControl) View() *control.View       { return f.view }
+func (f *fakeControl) SessionID() (uint64, bool) { return f.id, true }
+
+type fakeLoads struct {
+	mu    sync.Mutex
+	loads []place.Load
+	seen  map[uint64][]place.Load
+	tried map[uint64][]retry.Total
+}
+
+func (f *fakeLoads) Loads() []place.Load { return f.loads }
+func (f *fakeLoads) Observe(session uint64, loads []place.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen[session] = loads
+}
+func (f *fakeLoads) Retries() []retry.Total {
+	return []retry.Total{{Service: "s", Requests: 5, Retries: 2}}
+}
+func (f *fakeLoads) ObserveRetries(session uint64, totals []retry.Total) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tried[session] = totals
+}
+
+// TestExchange guards against entries that do not learn what others admitted and have running, over real connections.
+func TestExchange(t *testing.T) {
+	within := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
+	view := &control.View{
+		Sessions: map[uint64]*fleetpb.Session{},
+		Document: &document.Document{Version: 1, Customers: map[string]*document.Customer{"c": {Name: "c", Limit: within}}},
+	}
+	var limiters []*Limiter
+	var loads []*fakeLoads
+	var group errgroup.Group
+	ctx, cancel := context.WithCancel(t.Context())
+	for id := uint64(1); id <= 3; id++ {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		view.Sessions[id] = &fleetpb.Session{Id: id, PeerAddress: ln.Addr().String()}
+		l := New(&fakeControl{view, id}, fleetrpc.Dialer{Secret: "x"})
+		one := &fakeLoads{loads: []place.Load{{ID: "u", Incarnation: 1, Work: int(id), Requests: 1}}, seen: map[uint64][]place.Load{}, tried: map[uint64][]retry.Total{}}
+		l.Share(one)
+		limiters, loads = append(limiters, l), append(loads, one)
+		server := fleetrpc.NewServer("x", event.Discard())
+		fleetpb.RegisterPeerServer(server, l)
+		group.Go(func() error { return server.Serve(ln) })
+		t.Cleanup(server.Stop)
+	}
+	for _, l := range limiters {
+		group.Go(func() error { return l.Run(ctx) })
+	}
+	defer cancel()
+	await := func(what string, done func() bool) {
+		t.Helper()
+		for limit := time.Now().Add(10 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("%s: not seen", what)
+			}
+		}
+	}
+	await("loads of both others", func() bool {
+		loads[0].mu.Lock()
+		defer loads[0].mu.Unlock()
+		return len(loads[0].seen[2]) == 1 && loads[0].seen[2][0].Work == 2 && len(loads[0].seen[3]) == 1 && len(loads[0].tried[3]) == 1
+	})
+	if ok, _ := limiters[0].Take("c", within, 5000); !ok {
+		t.Fatal("the first request was refused")
+	}
+	for _, l := range limiters[1:] {
+		await("what the first entry admitted", func() bool {
+			ok, _ := l.Take("c", within, 0)
+			return !ok
+		})
+	}
+}
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -69,7 +69,7 @@
 	queueShare = 0.7
 	// outputShare is the part of a generation's expected output for which room is kept: requests are at all stages of
 	// their answers, so that few are at their end at once.
-	outputShare = 0.6
+	outputShare = 0.7
 	// lengthGain is the weight of one answer in the average length of a route's answers.
 	lengthGain = 0.05
 )
--- /dev/null
+++ b/entry/web/web_test.go
@@ -0,0 +1,530 @@
+package web
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
+	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/metric"
+	"azuredoor.example/entry/conn"
+	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/http1"
+)
+
+// plainCodec speaks simple headers: Id, Patience, Key, Tokens, After; Signed, NotRun.
+type plainCodec struct{}
+
+func (plainCodec) ReadCall(h *fasthttp.RequestHeader) Call {
+	c := Call{ID: string(h.Peek("Id")), Key: string(h.Peek("Key")), LastEvent: string(h.Peek("After"))}
+	c.Patience, _ = time.ParseDuration(string(h.Peek("Patience")))
+	if n, err := strconv.Atoi(string(h.Peek("Tokens"))); err == nil {
+		c.PromptTokens, c.MaxTokens, c.HasTokens = n, 100, true
+	}
+	return c
+}
+
+func (plainCodec) WriteCall(h *fasthttp.RequestHeader, f Forwarding) {
+	h.Del("Key")
+	h.Set("Customer", f.Customer)
+	h.Set("Patience", f.Patience.String())
+	if f.Prefill {
+		h.Set("Prefill", "1")
+	}
+	if f.Handle != "" {
+		h.Set("Source", f.Source+"/"+f.Handle)
+	}
+	if f.LastEvent != "" {
+		h.Set("After", f.LastEvent)
+	}
+}
+
+func (plainCodec) ReadMarks(h *fasthttp.ResponseHeader) Marks {
+	return Marks{
+		RequestID: string(h.Peek("Id")), Signed: len(h.Peek("Signed")) > 0, NotRun: len(h.Peek("NotRun")) > 0,
+		Replaced: h.StatusCode() == fasthttp.StatusMisdirectedRequest,
+	}
+}
+
+func (plainCodec) ReadHandle(body []byte) (string, error) {
+	if len(body) == 0 {
+		return "", errors.New("no handle")
+	}
+	return string(body), nil
+}
+
+func (plainCodec) FreeHandle(r *fasthttp.Request, handle string) {
+	r.Header.SetMethod("DELETE")
+	r.Header.SetRequestURI("/handle/" + handle)
+}
+
+// fakeControl is a control group with one view.
+type fakeControl struct {
+	view *control.View
+	age  time.Duration
+}
+
+func (f *fakeControl) View() *control.View { return f.view }
+func (f *fakeControl) Age() time.Duration  { return f.age }
+
+// fakeLimiter refuses customers named "over" and counts what is charged.
+type fakeLimiter struct {
+	mu      sync.Mutex
+	charged int64
+}
+
+func (f *fakeLimiter) Take(bucket string, _ config.Limit, tokens int64) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if bucket == "over" {
+		return false, time.Second
+	}
+	f.charged += tokens
+	return true, 0
+}
+
+func (f *fakeLimiter) Refund(_ string, _ config.Limit, tokens int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.charged -= tokens
+}
+
+// upstream is a fake upstream whose answers a script decides.
+type upstream struct {
+	address string
+	mu      sync.Mutex
+	got     []*fasthttp.Request
+}
+
+func (u *upstream) requests() []*fasthttp.Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.got
+}
+
+// startUpstream answers each request with what the script writes; the connection closes when it returns false.
+func startUpstream(t *testing.T, script func(c net.Conn, r *fasthttp.Request, n int) bool) *upstream {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{address: ln.Addr().String()}
+	var group errgroup.Group
+	t.Cleanup(func() {
+		if err := ln.Close(); err != nil {
+			t.Error(err)
+		}
+		_ = group.Wait()
+	})
+	group.Go(func() error {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					request := &fasthttp.Request{}
+					if err := request.Read(r); err != nil {
+						return nil
+					}
+					u.mu.Lock()
+					u.got = append(u.got, request)
+					n := len(u.got)
+					u.mu.Unlock()
+					if !script(c, request, n) {
+						return nil
+					}
+				}
+			})
+		}
+	})
+	return u
+}
+
+// answer writes a signed answer to a request.
+func answer(c net.Conn, r *fasthttp.Request, status int, extra, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nSigned: 1\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Peek("Id"), extra, len(body), body)
+	return err == nil
+}
+
+// events writes events from first to last of a stream, whole if end is set.
+func events(c net.Conn, r *fasthttp.Request, first, last int, end bool) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Peek("Id")); err != nil {
+		return false
+	}
+	for i := first; i <= last; i++ {
+		event := fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	if !end {
+		// Half an event, then the end of the connection.
+		_, _ = fmt.Fprintf(c, "5\r\nid: 9\r\n")
+		return false
+	}
+	_, err := fmt.Fprint(c, "0\r\n\r\n")
+	return err == nil
+}
+
+type bed struct {
+	address string
+	control *fakeControl
+	limiter *fakeLimiter
+	server  *http1.Server
+}
+
+// newBed starts a router in front of upstreams, given as role to upstream.
+func newBed(t *testing.T, plain []*upstream, prefill, decode []*upstream) *bed {
+	t.Helper()
+	target := []document.Target{{Service: "s", Weight: 1}}
+	engines := []document.Target{{Service: "e", Weight: 1}}
+	d := &document.Document{
+		Version:  1,
+		Services: map[string]*document.Service{"s": {Name: "s"}, "e": {Name: "e", Engine: &document.Engine{CacheTokens: 100_000, EventTokens: 1, HandleLifetime: time.Second}}},
+		Customers: map[string]*document.Customer{
+			"c":    {Name: "c", Keys: []string{"key"}, RequestTokens: 10, Limit: config.Limit{TokensPerSecond: 1000, BurstTokens: 1000}},
+			"over": {Name: "over", Keys: []string{"overkey"}, RequestTokens: 10, Limit: config.Limit{TokensPerSecond: 1, BurstTokens: 1}},
+		},
+	}
+	for _, r := range []*document.Route{
+		{Name: "safe", PathPrefix: "/safe/", RepeatRule: config.Idempotent, Attempts: 2, Targets: target},
+		{Name: "unsafe", PathPrefix: "/unsafe/", RepeatRule: config.NonIdempotent, Attempts: 1, Targets: target},
+		{Name: "open", PathPrefix: "/open/", RepeatRule: config.Idempotent, Attempts: 1, Open: true, Targets: target},
+		{Name: "stream", PathPrefix: "/stream/", RepeatRule: config.Idempotent, Attempts: 2, Stream: true, Resumable: true, Targets: engines},
+		{Name: "once", PathPrefix: "/once/", RepeatRule: config.NonIdempotent, Attempts: 1, Stream: true, Targets: engines},
+	} {
+		r.Host, r.Timeout, r.Target = "h", 800*time.Millisecond, 400*time.Millisecond
+		d.Routes = append(d.Routes, r)
+	}
+	if err := d.Index(); err != nil {
+		t.Fatal(err)
+	}
+	view := &control.View{Document: d, Upstreams: map[string]*fleetpb.Upstream{}, Sessions: map[uint64]*fleetpb.Session{1: {}}}
+	add := func(service, role string, list []*upstream) {
+		for i, u := range list {
+			id := fmt.Sprint(service, role, i)
+			view.Upstreams[id] = &fleetpb.Upstream{
+				Id: id, Address: u.address, Pool: service, Role: role, Incarnation: 1, Slots: 8, State: fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
+			}
+		}
+	}
+	add("s", "", plain)
+	add("e", "prefill", prefill)
+	add("e", "decode", decode)
+	b := &bed{control: &fakeControl{view: view}, limiter: &fakeLimiter{}}
+	root := metric.New("test")
+	pool := conn.NewPool(conn.Options{})
+	var background errgroup.Group
+	router := New(Config{
+		Codec: plainCodec{}, Control: b.control, Limiter: b.limiter, Pool: pool, FreshFor: time.Second, Grace: 8 * time.Second,
+		RetryPercent: 100, RetryFloor: 100, Metrics: metric.NewRequests(root.Scope), Events: event.Discard(), Background: &background,
+	})
+	router.OnChange(view)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = ln.Addr().String()
+	b.server = http1.New(http1.Config{Handler: router, Bounds: func() http1.Bounds { return http1.Bounds{} }})
+	var group errgroup.Group
+	group.Go(func() error { return b.server.Serve(ln) })
+	t.Cleanup(func() {
+		b.server.Close()
+		_ = group.Wait()
+		_ = background.Wait()
+		pool.Close()
+		_ = root.Close()
+	})
+	return b
+}
+
+type result struct {
+	status int
+	body   string
+	header http.Header
+	// cut is set when the answer is not complete.
+	cut bool
+}
+
+func (b *bed) send(t *testing.T, method, path string, header map[string]string) result {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+b.address+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "request-1")
+	request.Header.Set("Key", "key")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return result{cut: true}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, string(body), response.Header, err != nil}
+}
+
+// TestPlainOutcomes guards, for each way in which an upstream can fail, against a second run of a request that may run
+// once, a refusal that says "not run" although it may have run, an answer that is not the upstream's whole one, and a
+// request that is given up although another upstream could serve it.
+func TestPlainOutcomes(t *testing.T) {
+	type script = func(c net.Conn, r *fasthttp.Request, n int) bool
+	whole := func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 200, "", "fine") }
+	for name, test := range map[string]struct {
+		first                script
+		wantSafe, wantUnsafe int
+		runsSafe, runsUnsafe int
+		unsafeBody           string
+	}{
+		"serves":            {whole, 200, 200, 1, 1, "fine"},
+		"fails":             {func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 500, "", "own") }, 200, 500, 2, 1, "own"},
+		"refuses, not run":  {func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 503, "NotRun: 1\r\n", "") }, 200, 200, 2, 2, "fine"},
+		"replaced":          {func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 421, "", "") }, 200, 200, 2, 2, "fine"},
+		"503, may have run": {func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 503, "", "") }, 200, 502, 2, 1, ""},
+		"resets":            {func(net.Conn, *fasthttp.Request, int) bool { return false }, 200, 502, 2, 1, ""},
+		"cuts its answer": {func(c net.Conn, r *fasthttp.Request, _ int) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 10\r\n\r\nhalf", r.Header.Peek("Id"))
+			return false
+		}, 200, 502, 2, 1, ""},
+		"unsigned": {func(c net.Conn, r *fasthttp.Request, _ int) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 1\r\n\r\nx", r.Header.Peek("Id"))
+			return err == nil
+		}, 200, 502, 2, 1, ""},
+		"encoded": {func(c net.Conn, r *fasthttp.Request, _ int) bool {
+			return answer(c, r, 200, "Content-Encoding: gzip\r\n", "x")
+		}, 200, 502, 2, 1, ""},
+		"another's answer": {func(c net.Conn, _ *fasthttp.Request, _ int) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 X\r\nId: other\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx")
+			return false
+		}, 200, 502, 2, 1, ""},
+		"no protocol": {func(c net.Conn, _ *fasthttp.Request, _ int) bool {
+			_, _ = fmt.Fprint(c, "garbage\r\n\r\n")
+			return false
+		}, 200, 502, 2, 1, ""},
+		"silent": {func(_ net.Conn, _ *fasthttp.Request, _ int) bool {
+			time.Sleep(2 * time.Second)
+			return false
+		}, 504, 504, 1, 1, ""},
+		"answers and adds another": {func(c net.Conn, r *fasthttp.Request, _ int) bool {
+			return answer(c, r, 200, "", "fine") && answer(c, r, 200, "", "more")
+		}, 200, 200, 1, 1, "fine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, path := range []string{"/safe/x?q=1", "/unsafe/x?q=1"} {
+				// Both upstreams follow one count, so that the first to be asked is the one that misbehaves.
+				var mu sync.Mutex
+				count := 0
+				shared := func(c net.Conn, r *fasthttp.Request, _ int) bool {
+					mu.Lock()
+					count++
+					n := count
+					mu.Unlock()
+					if n == 1 {
+						return test.first(c, r, n)
+					}
+					return whole(c, r, n)
+				}
+				a, z := startUpstream(t, shared), startUpstream(t, shared)
+				b := newBed(t, []*upstream{a, z}, nil, nil)
+				got := b.send(t, "POST", path, map[string]string{"Patience": "5s"})
+				want, runs := test.wantSafe, test.runsSafe
+				if strings.HasPrefix(path, "/unsafe") {
+					want, runs = test.wantUnsafe, test.runsUnsafe
+					if test.unsafeBody != "" && got.body != test.unsafeBody {
+						t.Errorf("%s: got body %q, want %q", path, got.body, test.unsafeBody)
+					}
+				} else if want == 200 && got.body != "fine" {
+					t.Errorf("%s: got body %q, want the whole answer", path, got.body)
+				}
+				if got.status != want || got.cut {
+					t.Errorf("%s: got status %d, cut %v, want %d", path, got.status, got.cut, want)
+				}
+				if sent := len(a.requests()) + len(z.requests()); sent != runs {
+					t.Errorf("%s: got %d sends, want %d", path, sent, runs)
+				}
+				for _, r := range append(a.requests(), z.requests()...) {
+					if string(r.Header.RequestURI()) != path || string(r.Body()) != "body" || len(r.Header.Peek("Key")) > 0 || string(r.Header.Peek("Customer")) != "c" {
+						t.Errorf("%s: got %q %q, key %q, customer %q", path, r.Header.RequestURI(), r.Body(), r.Header.Peek("Key"), r.Header.Peek("Customer"))
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestRefusals guards against requests that are passed on without a right to it, and against refusals that promise or
+// withhold the wrong thing.
+func TestRefusals(t *testing.T) {
+	u := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 200, "", "fine") })
+	b := newBed(t, []*upstream{u}, nil, nil)
+	for name, test := range map[string]struct {
+		path   string
+		header map[string]string
+		age    time.Duration
+		want   int
+	}{
+		"allowed":                 {"/safe/x", nil, 0, 200},
+		"open, no key":            {"/open/x", map[string]string{"Key": ""}, 0, 200},
+		"open, stale view":        {"/open/x", map[string]string{"Key": ""}, time.Minute, 200},
+		"no key":                  {"/safe/x", map[string]string{"Key": ""}, 0, 401},
+		"unknown key":             {"/safe/x", map[string]string{"Key": "withdrawn"}, 0, 401},
+		"key, stale view":         {"/safe/x", nil, time.Minute, 503},
+		"unknown key, stale view": {"/safe/x", map[string]string{"Key": "new"}, time.Minute, 503},
+		"no route":                {"/none/x", nil, 0, 404},
+		"no route, stale view":    {"/none/x", nil, time.Minute, 503},
+		"over the limit":          {"/safe/x", map[string]string{"Key": "overkey"}, 0, 429},
+		"no engine":               {"/stream/x", map[string]string{"Tokens": "100"}, 0, 503},
+	} {
+		b.control.age = test.age
+		before := len(u.requests())
+		got := b.send(t, "POST", test.path, test.header)
+		if got.status != test.want {
+			t.Errorf("%s: got status %d, want %d", name, got.status, test.want)
+		}
+		if passed := len(u.requests()) > before; passed != (test.want == 200) {
+			t.Errorf("%s: got passed on %v", name, passed)
+		}
+		if hasTime := got.header.Get("Retry-After") != ""; (test.want == 429 || test.want == 503) != hasTime {
+			t.Errorf("%s: got Retry-After %q", name, got.header.Get("Retry-After"))
+		}
+	}
+	b.control.age = 0
+	if b.limiter.charged != 10 {
+		t.Errorf("got %d tokens charged, want those of the one request that ran", b.limiter.charged)
+	}
+	b.server.Drain(time.Millisecond)
+	if got := b.send(t, "POST", "/safe/x", nil); got.status != 503 {
+		t.Errorf("just before the end: got status %d, want 503", got.status)
+	}
+}
+
+func wantEvents(last int) string {
+	var b strings.Builder
+	for i := 1; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestStreamGoesOn guards against a resumable stream that loses, repeats or joins pieces when its engine breaks, and
+// against one that may run only once and is started again.
+func TestStreamGoesOn(t *testing.T) {
+	var mu sync.Mutex
+	count := 0
+	script := func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		mu.Lock()
+		count++
+		n := count
+		mu.Unlock()
+		if n == 1 {
+			return events(c, r, 1, 3, false)
+		}
+		// The engine goes on after the last event and repeats one of them.
+		after, _ := strconv.Atoi(string(r.Header.Peek("After")))
+		return events(c, r, max(1, after), 6, true)
+	}
+	a, z := startUpstream(t, script), startUpstream(t, script)
+	b := newBed(t, nil, nil, []*upstream{a, z})
+	got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.cut || got.body != wantEvents(6) {
+		t.Errorf("resumable: got %d, cut %v, %q, want six events once each", got.status, got.cut, got.body)
+	}
+	count = 0
+	sent := len(a.requests()) + len(z.requests())
+	got = b.send(t, "POST", "/once/x", map[string]string{"Tokens": "100"})
+	if !got.cut || !strings.HasPrefix(wantEvents(3), got.body) {
+		t.Errorf("not resumable: got cut %v, %q, want a visible end after whole events", got.cut, got.body)
+	}
+	if n := len(a.requests()) + len(z.requests()) - sent; n != 1 {
+		t.Errorf("not resumable: got %d sends, want 1", n)
+	}
+}
+
+// TestPrefillFirst guards against prompts that are read twice, results that are passed to two engines, and results that
+// stay in memory after nobody took them.
+func TestPrefillFirst(t *testing.T) {
+	prefill := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		if string(r.Header.Method()) == "DELETE" {
+			return answer(c, r, 200, "", "")
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nh1", r.Header.Peek("Id"))
+		return err == nil
+	})
+	block := make(chan struct{})
+	decode := startUpstream(t, func(c net.Conn, r *fasthttp.Request, n int) bool {
+		switch n {
+		case 1:
+			<-block
+			return events(c, r, 1, 2, true)
+		case 3:
+			return answer(c, r, 503, "NotRun: 1\r\n", "")
+		}
+		return events(c, r, 1, 2, true)
+	})
+	b := newBed(t, nil, []*upstream{prefill}, []*upstream{decode})
+	first := make(chan result, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		first <- b.send(t, "POST", "/once/first", map[string]string{"Tokens": "100"})
+		return nil
+	})
+	for len(decode.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := len(prefill.requests()); got != 0 {
+		t.Errorf("idle decode engine: got %d prefills, want the prompt read there", got)
+	}
+	got := b.send(t, "POST", "/once/second", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.body != wantEvents(2) {
+		t.Errorf("got %d, %q, want the stream", got.status, got.body)
+	}
+	if source := string(decode.requests()[1].Header.Peek("Source")); source != prefill.address+"/h1" || len(prefill.requests()) != 1 {
+		t.Errorf("busy decode engine: got source %q and %d prefills, want the result of one", source, len(prefill.requests()))
+	}
+	if got := b.send(t, "POST", "/once/third", map[string]string{"Tokens": "100"}); got.status != 200 {
+		t.Errorf("after a refusal: got %d, want the stream", got.status)
+	}
+	close(block)
+	if got := <-first; got.status != 200 {
+		t.Errorf("first: got %d", got.status)
+	}
+	_ = group.Wait()
+}
+
+// TestPatienceShrinks guards against upstreams that work longer than the caller waits.
+func TestPatienceShrinks(t *testing.T) {
+	u := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 200, "", "fine") })
+	b := newBed(t, []*upstream{u}, nil, nil)
+	for patience, most := range map[string]time.Duration{"200ms": 200 * time.Millisecond, "10s": 800 * time.Millisecond, "": 800 * time.Millisecond} {
+		b.send(t, "POST", "/safe/x", map[string]string{"Patience": patience})
+		list := u.requests()
+		got, err := time.ParseDuration(string(list[len(list)-1].Header.Peek("Patience")))
+		if err != nil || got > most || got < most/2 {
+			t.Errorf("patience %q: got %v passed on, %v, want at most %v", patience, got, err, most)
+		}
+	}
+}
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -9,7 +9,7 @@
   grep '^test: ' KNOWN-RED.txt
   args=(-skip "$skip")
 fi
-modules=(core entry control ctl standin bench)
+modules=(core entry control ctl standin bench platform)
 packages=()
 for module in "${modules[@]}"; do
   packages+=("./$module/...")
