--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -17,12 +17,14 @@
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"azuredoor.example/control/disk"
 	"azuredoor.example/control/member"
 	"azuredoor.example/control/server"
 	"azuredoor.example/core/event"
+	"azuredoor.example/core/metric"
 	"azuredoor.example/core/settings"
 )
 
@@ -45,14 +47,16 @@
 	// AnnounceEvery is the time between two announcements of an upstream.
 	AnnounceEvery   time.Duration
 	MemoryMegabytes int
-	LogLevel        string
+	// MetricsListen is the address of the metrics page, IP:port; empty for none.
+	MetricsListen string
+	LogLevel      string
 
 	// Reload reads the settings again.
 	Reload func() (*Config, error)
 	// SettingsFile is watched for changes; empty for none.
 	SettingsFile string
 	// Serve answers operators and upstreams until the context ends.
-	Serve func(ctx context.Context, listener net.Listener, s *server.Server, events *event.Logger) error
+	Serve func(ctx context.Context, listener net.Listener, s *server.Server, calls *metric.Calls, events *event.Logger) error
 
 	program string
 }
@@ -74,6 +78,7 @@
 	s.Count(&c.ToleratedLosses, "tolerated-losses", 1, 0, 10, "members that may be lost at once")
 	s.Period(&c.AnnounceEvery, "announce-every", 500*time.Millisecond, 10*time.Millisecond, time.Hour, "time between two announcements of an upstream")
 	s.Count(&c.MemoryMegabytes, "memory-megabytes", 256, 32, 1<<20, "memory of this VM in megabytes")
+	s.Address(&c.MetricsListen, "metrics-listen", "", "IP:port of the metrics page; empty for none")
 	s.Choice(&c.LogLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "lowest level that is logged")
 	s.Required("name", "ip", "listen", "internal-ports", "seeds", "data-dir", "failure-domain")
 	return s
@@ -140,7 +145,15 @@
 	var seeds atomic.Pointer[[]string]
 	members := c.members()
 	seeds.Store(&members)
+	metrics := metric.New("azuredoor")
+	defer func() { _ = metrics.Close() }()
+	calls := metric.NewCalls(metrics.Scope)
 	group, ctx := errgroup.WithContext(ctx)
+	if c.MetricsListen != "" {
+		if err := serveMetrics(ctx, group, c.MetricsListen, metrics); err != nil {
+			return err
+		}
+	}
 	group.Go(func() error {
 		return settings.Watch(ctx, c.SettingsFile, settingsPoll, func() {
 			if c.Reload == nil {
@@ -157,7 +170,7 @@
 	group.Go(func() error {
 		founders := c.founders()
 		for ctx.Err() == nil {
-			err := runOnce(ctx, c, events, founders, func() []string { return *seeds.Load() })
+			err := runOnce(ctx, c, calls, events, founders, func() []string { return *seeds.Load() })
 			damage := (*disk.DamageError)(nil)
 			if !errors.Is(err, member.ErrRemoved) && !errors.As(err, &damage) {
 				if err == nil {
@@ -179,6 +192,35 @@
 	return nil
 }
 
+// metricsTimeout bounds a reader of the metrics page.
+const metricsTimeout = 5 * time.Second
+
+func serveMetrics(ctx context.Context, group *errgroup.Group, address string, metrics *metric.Root) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	page := &fasthttp.Server{
+		Handler: func(x *fasthttp.RequestCtx) {
+			x.SetContentType(metric.ContentType)
+			if err := metrics.WriteText(x); err != nil {
+				x.SetStatusCode(fasthttp.StatusInternalServerError)
+			}
+		},
+		NoDefaultServerHeader: true, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, CloseOnShutdown: true,
+	}
+	group.Go(func() error { return eris.Wrap(page.Serve(listener), "serve metrics") })
+	group.Go(func() error {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), metricsTimeout/20)
+		defer cancel()
+		// An error means that readers were still connected; they end with the process.
+		_ = page.ShutdownWithContext(closing)
+		return nil
+	})
+	return nil
+}
+
 // founders are the members that form the group, empty unless this is the first start and this process is one of them.
 func (c *Config) founders() []string {
 	members := c.members()
@@ -189,7 +231,7 @@
 }
 
 // runOnce opens the folder and runs a member until the context ends or the group has replaced it.
-func runOnce(ctx context.Context, c *Config, events *event.Logger, founders []string, seeds func() []string) (err error) {
+func runOnce(ctx context.Context, c *Config, calls *metric.Calls, events *event.Logger, founders []string, seeds func() []string) (err error) {
 	address := net.JoinHostPort(c.IP, c.port())
 	options := disk.Options{Dir: c.DataDir, Events: events}
 	if len(founders) > 0 {
@@ -222,6 +264,6 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.Run(ctx) })
-	group.Go(func() error { return c.Serve(ctx, outside, s, events) })
+	group.Go(func() error { return c.Serve(ctx, outside, s, calls, events) })
 	return group.Wait()
 }
--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -15,6 +15,7 @@
 
 	"azuredoor.example/control/server"
 	"azuredoor.example/core/event"
+	"azuredoor.example/core/metric"
 )
 
 // fleet runs control processes on addresses of the loopback range.
@@ -78,7 +79,7 @@
 		Name: "control-" + ip, IP: ip, FailureDomain: "d", Region: "r", Listen: ip + ":0", InternalPorts: fmt.Sprintf("%d,%d", f.port, f.port+1),
 		Seeds: strings.Join(seeds, ","), Fleet: "test", DataDir: f.dataDir(ip), FirstStart: first, ToleratedLosses: 2,
 		AnnounceEvery: 500 * time.Millisecond, MemoryMegabytes: 256,
-		Serve: func(ctx context.Context, listener net.Listener, s *server.Server, _ *event.Logger) error {
+		Serve: func(ctx context.Context, listener net.Listener, s *server.Server, _ *metric.Calls, _ *event.Logger) error {
 			f.mu.Lock()
 			p.server = s
 			f.mu.Unlock()
