--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -45,6 +45,12 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
+// Answered says whether any byte of a response arrived before the call failed. It is false for errors of other origin.
+func Answered(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Answered
+}
+
 // Options configure a Pool. Each zero bound gets the default in brackets.
 type Options struct {
 	// Connect bounds the connection set-up [500 ms].
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -90,7 +90,7 @@
 	ejectLongest = 3200 * time.Millisecond
 	// brokenInARow and refusedInARow are how many broken answers, or refusals, in a row eject an upstream. An engine that
 	// changes its role refuses all requests for seconds.
-	brokenInARow  = 3
+	brokenInARow  = 2
 	refusedInARow = 2
 	// unheardPenalty makes an upstream whose announcements stopped a last choice.
 	unheardPenalty = 50
@@ -298,7 +298,8 @@
 			return 0
 		}
 	case Broken:
-		if s.row++; s.row < brokenInARow {
+		// An upstream that was ejected before and has served nothing since gets no second chance.
+		if s.row++; s.row < brokenInARow && s.ejections == 0 {
 			return 0
 		}
 	default:
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -73,7 +73,7 @@
 		"unreachable once":       {[]Outcome{Unreachable}, true},
 		"replaced once":          {[]Outcome{Replaced}, true},
 		"broken once":            {[]Outcome{Broken}, false},
-		"broken in a row":        {[]Outcome{Broken, Broken, Broken}, true},
+		"broken in a row":        {[]Outcome{Broken, Broken}, true},
 		"broken, served between": {[]Outcome{Broken, Broken, Served, Broken}, false},
 		"refused once":           {[]Outcome{Refused}, false},
 		"refused in a row":       {[]Outcome{Refused, Refused}, true},
@@ -102,6 +102,10 @@
 		last = d
 		now = now.Add(d)
 	}
+	if got := table.End(now, u, need, Broken); got == 0 {
+		t.Error("broken again after an ejection: got another chance")
+	}
+	now = now.Add(ejectLongest)
 	table.End(now, u, need, Served)
 	if got := table.End(now, u, need, Unreachable); got != ejectFirst {
 		t.Errorf("after it served again: got %v, want %v", got, ejectFirst)
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -10,8 +10,8 @@
 	decodeShare = 0.5
 	// speedFade lets an observed speed fade, so that a slower engine is noticed.
 	speedFade = 0.98
-	// handOver is the time that moving a prefill's result to a decode engine takes beside the reading.
-	handOver = 10 * time.Millisecond
+	// HandOver is the time that moving a prefill's result to a decode engine takes beside the reading.
+	HandOver = 10 * time.Millisecond
 )
 
 func reading(tokens int, speed float64) time.Duration {
@@ -49,7 +49,7 @@
 	if prefill, err := t.best(now, need); err == nil {
 		f.HasSplit = true
 		work, _ := prefill.total()
-		f.Split = reading(work+prompt, t.speed) + handOver
+		f.Split = reading(work+prompt, t.speed) + HandOver
 	}
 	return f
 }
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -52,11 +52,14 @@
 }
 
 const (
-	// startRetry is when a caller may return to an entry that knows no configuration yet, or none that is fresh.
-	startRetry = 500 * time.Millisecond
-	// stopAccepts is how long after a stop signal requests are taken whose timeout lies beyond the end: the load balancer
-	// needs about that time to send callers elsewhere.
-	stopAccepts = 2500 * time.Millisecond
+	// startRetry is the shortest time after which a caller may return to an entry that knows no current configuration, or
+	// no upstream.
+	startRetry = 250 * time.Millisecond
+	// startTakes is how long an entry needs until it serves when the control group starts with it.
+	startTakes = 1500 * time.Millisecond
+	// stopAccepts is how long after a stop signal requests are taken whose timeout lies beyond the end. Most answers that
+	// begin by then end in time; later callers are better off at another entry.
+	stopAccepts = time.Second
 	// stopRetry is when a caller may turn to another entry.
 	stopRetry = 20 * time.Millisecond
 	// busyRetry is when a caller may return after all upstreams were busy: a few service times.
@@ -78,7 +81,7 @@
 	q.document = q.router.config.Control.View().Document
 	q.age = q.router.config.Control.Age()
 	if q.document == nil {
-		return &refusal{fasthttp.StatusServiceUnavailable, "this entry has no configuration yet", startRetry}
+		return &refusal{fasthttp.StatusServiceUnavailable, "this entry has no configuration yet", q.router.startsIn()}
 	}
 	return nil
 }
@@ -104,7 +107,7 @@
 }
 
 func (q *request) stale() *refusal {
-	return &refusal{fasthttp.StatusServiceUnavailable, "this entry cannot confirm that its configuration is current", startRetry}
+	return &refusal{fasthttp.StatusServiceUnavailable, "this entry cannot confirm that its configuration is current", q.router.startsIn()}
 }
 
 func (q *request) findCustomer() *refusal {
@@ -246,6 +249,11 @@
 	r.lengths[route] = mean + lengthGain*(float64(tokens)-mean)
 }
 
+// startsIn returns when an entry that knows no current configuration is expected to have one.
+func (r *Router) startsIn() time.Duration {
+	return min(max(startTakes-time.Since(r.started), startRetry), startTakes)
+}
+
 // refusedFor returns when a caller that found no room should return.
 func (r *Router) refusedFor(service string) time.Duration {
 	r.mu.Lock()
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -78,6 +78,8 @@
 	freed chan struct{}
 	// entries is the number of entries in the view.
 	entries int
+	// started is when the process started.
+	started time.Time
 
 	// seen is the view of the last call of OnChange, which has one caller.
 	seen *control.View
@@ -87,7 +89,7 @@
 func New(c Config) *Router {
 	return &Router{
 		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
-		lengths: map[string]float64{}, returns: map[string]*place.Returns{}, demands: map[string]*place.Demand{}, freed: make(chan struct{}), entries: 1,
+		lengths: map[string]float64{}, returns: map[string]*place.Returns{}, demands: map[string]*place.Demand{}, freed: make(chan struct{}), entries: 1, started: time.Now(),
 	}
 }
 
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -86,6 +86,9 @@
 	s.written = conn.Sent(s.err)
 	if s.err != nil {
 		switch {
+		case s.written && time.Since(s.began) > streamStall && !conn.Answered(s.err):
+			// A caller that left after so long says something of the upstream.
+			s.outcome = place.Broken
 		case errors.Is(context.Cause(q.x.Context), http1.ErrCallerGone):
 			s.outcome = place.Cancelled
 		case errors.Is(s.err, conn.ErrLimit):
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -140,7 +140,11 @@
 		f.Source, f.Handle = q.prefill(forecast)
 		forecast.HasSplit = f.Handle != ""
 	}
-	s := q.send(u, q.need, f, q.firstBound(forecast), true)
+	expected := forecast.Best(target)
+	if f.Handle != "" {
+		expected = place.HandOver
+	}
+	s := q.send(u, q.need, f, q.firstBound(expected), true)
 	*kept = Forwarding{}
 	if !s.written || s.outcome == place.Refused {
 		*kept = f
@@ -156,10 +160,10 @@
 
 // firstBound is how long to wait for the response and its first event before another engine is tried. Trying another one
 // means reading the prompt again, so an engine gets several times the expected time.
-func (q *request) firstBound(forecast place.Forecast) time.Duration {
+func (q *request) firstBound(expected time.Duration) time.Duration {
 	left := max(time.Millisecond, time.Until(q.deadline))
 	if q.idempotent() && q.runs+1 < q.route.Attempts {
-		return min(left, 3*forecast.Best(q.route.Target)+firstEventSlack)
+		return min(left, 3*expected+firstEventSlack)
 	}
 	return left
 }
