--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -80,7 +80,8 @@
 				return
 			}
 		}
-		direct = true
+		// A prompt that no engine has received is still read on a prefill engine.
+		direct = direct || s.written
 		if tries >= maxRefused || !q.maySendAgain() {
 			q.refuse(q.unavailable(place.ErrBusy))
 			return
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -24,6 +24,7 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/http1"
+	"azuredoor.example/entry/place"
 )
 
 // plainCodec speaks simple headers: Id, Patience, Key, Tokens, After; Signed, NotRun.
@@ -190,6 +191,7 @@
 	control *fakeControl
 	limiter *fakeLimiter
 	server  *http1.Server
+	router  *Router
 }
 
 // newBed starts a router in front of upstreams, given as role to upstream.
@@ -239,6 +241,7 @@
 		RetryPercent: 100, RetryFloor: 100, Metrics: metric.NewRequests(root.Scope), Events: event.Discard(), Background: &background,
 	})
 	router.OnChange(view)
+	b.router = router
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -515,6 +518,34 @@
 	_ = group.Wait()
 }
 
+// TestUnreachableDecodeEngine guards against prompts that are read for an engine that cannot be reached, or that burden
+// the streams of the next one although a prefill engine is there.
+func TestUnreachableDecodeEngine(t *testing.T) {
+	prefill := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nh1", r.Header.Peek("Id"))
+		return err == nil
+	})
+	decode := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return events(c, r, 1, 2, true) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := &upstream{address: ln.Addr().String()}
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// Other entries have streams on both decode engines, more of them on the one that is there.
+	b := newBed(t, nil, []*upstream{prefill}, []*upstream{gone, decode})
+	b.router.Observe(7, []place.Load{{ID: "edecode0", Incarnation: 1, Work: 100, Requests: 1}, {ID: "edecode1", Incarnation: 1, Work: 5000, Requests: 2}})
+	got := b.send(t, "POST", "/once/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.body != wantEvents(2) {
+		t.Errorf("got %d, %q, want the stream of the engine that is there", got.status, got.body)
+	}
+	if n := len(prefill.requests()); n != 1 || string(decode.requests()[0].Header.Peek("Source")) == "" {
+		t.Errorf("got %d prefills, want one, whose result the decode engine gets", n)
+	}
+}
+
 // TestPatienceShrinks guards against upstreams that work longer than the caller waits.
 func TestPatienceShrinks(t *testing.T) {
 	u := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return answer(c, r, 200, "", "fine") })
