--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -27,6 +28,14 @@
 	Accepts, Heard bool
 	// Capacity bounds the work that all entries have running there, in the unit of Need.Work; 0 means no bound.
 	Capacity int
+	// Slots bounds the requests that all entries have running there; 0 means no bound.
+	Slots int
+}
+
+// full says whether a request of that much work has no room at the upstream.
+func (s *state) full(work int) bool {
+	total, requests := s.total()
+	return s.Capacity > 0 && requests > 0 && total+work > s.Capacity || s.Slots > 0 && requests >= s.Slots
 }
 
 // Need describes what a request asks for.
@@ -92,6 +101,10 @@
 	// changes its role refuses all requests for seconds.
 	brokenInARow  = 2
 	refusedInARow = 2
+	// sampleAbove is the number of candidates above which a choice looks at sampleSize of them only: a handful of entries
+	// before fewer upstreams sees most of the load itself.
+	sampleAbove = 10
+	sampleSize  = 3
 	// unheardPenalty makes an upstream whose announcements stopped a last choice.
 	unheardPenalty = 50
 )
@@ -174,14 +187,15 @@
 	states map[string]*state
 	order  []string
 	// turn breaks ties in turn.
-	turn int
+	turn   int
+	random *rand.Rand
 	// speed is the observed reading speed of prefill engines, in tokens per millisecond.
 	speed float64
 }
 
 // NewTable returns an empty table. The turn makes entries begin at different upstreams.
 func NewTable(turn int) *Table {
-	return &Table{states: map[string]*state{}, turn: turn, speed: firstSpeed}
+	return &Table{states: map[string]*state{}, turn: turn, random: rand.New(rand.NewPCG(uint64(turn), 0)), speed: firstSpeed}
 }
 
 // Set replaces the upstreams. What is known of an incarnation is kept.
@@ -231,7 +245,7 @@
 				continue
 			}
 			accepting++
-			if work, requests := s.total(); s.Capacity > 0 && requests > 0 && work+need.Work > s.Capacity {
+			if s.full(need.Work) {
 				continue
 			}
 			candidates = append(candidates, s)
@@ -252,7 +266,7 @@
 	}
 	var best *state
 	least := math.Inf(1)
-	for _, s := range candidates {
+	for _, s := range t.sample(candidates) {
 		if cost := t.cost(now, s, need, lowest); cost < least {
 			best, least = s, cost
 		}
@@ -260,6 +274,16 @@
 	return best, nil
 }
 
+// sample returns a few candidates of many. Entries know each other's load with a delay, so that in a large pool all of them
+// would choose the same upstream until they learn of each other (Mitzenmacher, "How Useful Is Old Information?", 2000).
+func (t *Table) sample(candidates []*state) []*state {
+	if len(candidates) <= sampleAbove {
+		return candidates
+	}
+	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:sampleSize]
+}
+
 // cost is in units of the request's own work.
 func (t *Table) cost(now time.Time, s *state, need Need, lowest float64) float64 {
 	work, _ := s.total()
@@ -288,6 +312,10 @@
 	}
 	before := s.failure(now)
 	s.failing, s.failedAt = before+failureGain*(grade[outcome]-before), now
+	if outcome == Unreachable || outcome == Replaced {
+		// An upstream that is gone has no load, and would look best to everyone.
+		s.failing = 1
+	}
 	switch outcome {
 	case Served, Erred:
 		s.row, s.refusals, s.ejections = 0, 0, 0
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -42,6 +42,9 @@
 		"another incarnation's load": {[]Upstream{service("a", "near", 10), service("b", "far", 10)}, func(t *Table) {
 			t.Observe(7, []Load{{ID: "a", Incarnation: 9, Work: 10, Requests: 2}})
 		}, need, "a", nil},
+		"no slot": {[]Upstream{{ID: "a", Service: "s", Accepts: true, Heard: true, Slots: 2}, service("b", "far", 0)}, func(t *Table) {
+			t.Observe(7, []Load{{ID: "a", Incarnation: 0, Work: 2, Requests: 2}})
+		}, need, "b", nil},
 		"ejected": {[]Upstream{service("a", "near", 0), service("b", "far", 0)}, func(t *Table) {
 			t.End(epoch, service("a", "near", 0), need, Unreachable)
 		}, need, "b", nil},
@@ -241,6 +244,35 @@
 	}
 }
 
+// TestManyEntriesSpread guards against entries that all choose the upstream that was least loaded when they last heard of
+// each other.
+func TestManyEntriesSpread(t *testing.T) {
+	var upstreams []Upstream
+	for i := range 25 {
+		upstreams = append(upstreams, service(string(rune('a'+i)), "d", 0))
+	}
+	got := map[string]int{}
+	for entry := range 29 {
+		table := NewTable(entry)
+		table.Set(upstreams)
+		var loads []Load
+		for i, u := range upstreams {
+			loads = append(loads, Load{ID: u.ID, Incarnation: 1, Work: 5 + i%5, Requests: 5 + i%5})
+		}
+		table.Observe(99, loads)
+		u, err := table.Pick(epoch, Need{Service: "s", Work: 1, FailureDomain: "d"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[u.ID]++
+	}
+	for id, n := range got {
+		if n > 29/3 {
+			t.Errorf("got %d of 29 requests on %s, want them spread", n, id)
+		}
+	}
+}
+
 // TestSeparate guards against prompts that are read on decode engines and delay the streams there, against results that
 // are moved without need, and against prompts that wait behind a long line of others.
 func TestSeparate(t *testing.T) {
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -24,8 +24,8 @@
 	// limit is paid back later, so it only bounds how far one window exceeds the limit.
 	exchangeEvery = 200 * time.Millisecond
 	// exchangeShare lengthens that time with the number of entries, so that the cost of an entry grows no faster than a
-	// few reports for each 20 ms.
-	exchangeShare = 20 * time.Millisecond
+	// few reports for each 8 ms.
+	exchangeShare = 8 * time.Millisecond
 	// callTimeout bounds one exchange; a connection that does not answer is made anew.
 	callTimeout = 300 * time.Millisecond
 )
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -107,9 +107,10 @@
 		}
 		if view.Document != nil {
 			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
-				one.Capacity = int(float64(s.Engine.CacheTokens) * engineShare)
+				one.Capacity = int(float64(s.Engine.CacheTokens) * roomShareFor(len(view.Sessions)))
+				one.Slots = s.Engine.Slots
 				if one.Role == place.RolePrefill {
-					one.Capacity = 0
+					one.Capacity, one.Slots = 0, 0
 				}
 			}
 		}
@@ -130,8 +131,18 @@
 	// engineShare is the part of an engine's memory that requests are placed in. The rest is room for answers that grow
 	// longer than expected; an engine without room stops a request and reads it again.
 	engineShare = 0.93
+	// entryShare is the part of an engine's memory that is left for each entry beyond the first, for what it places there
+	// until the others hear of it.
+	entryShare = 0.0025
+	// leastShare is what remains in large fleets.
+	leastShare = 0.75
 )
 
+// roomShareFor returns the part of an engine's memory that a number of entries fill.
+func roomShareFor(entries int) float64 {
+	return max(leastShare, engineShare-entryShare*float64(max(0, entries-1)))
+}
+
 // gone says whether an upstream that fell silent has ended for good: another one has its address, or it said so.
 func gone(view *control.View, u *fleetpb.Upstream) bool {
 	if u.Sequence == withdrawn {
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -29,6 +29,8 @@
 	handleMargin = 60 * time.Millisecond
 	// maxPrefills bounds the prefill engines that one request is offered to.
 	maxPrefills = 2
+	// maxUnreached bounds the engines that a request finds gone: a failure domain may have a dozen of them.
+	maxUnreached = 12
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = 500 * time.Millisecond
 	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
@@ -44,7 +46,7 @@
 	direct := false
 	var kept Forwarding
 	defer func() { q.free(kept) }()
-	for tries := 0; ; tries++ {
+	for refusals, unreached := 0, 0; ; {
 		s, refused := q.open(last, direct, &kept)
 		if refused != nil {
 			q.refuse(refused)
@@ -73,16 +75,21 @@
 				q.exclude(s.upstream)
 				continue
 			}
+			if s.written {
+				refusals++
+			} else {
+				unreached++
+			}
 			retry := s.marks.RetryAfter
 			s.release()
-			if q.ctx.Err() == nil && !q.ran && tries >= maxRefused {
+			if q.ctx.Err() == nil && !q.ran && (refusals > maxRefused || unreached > maxUnreached) {
 				q.refuse(&refusal{fasthttp.StatusServiceUnavailable, "no upstream took the request", max(retry, busyRetry)})
 				return
 			}
 		}
 		// A prompt that no engine has received is still read on a prefill engine.
 		direct = direct || s.written
-		if tries >= maxRefused || !q.maySendAgain() {
+		if refusals > maxRefused || unreached > maxUnreached || !q.maySendAgain() {
 			q.refuse(q.unavailable(place.ErrBusy))
 			return
 		}
