--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -69,9 +69,23 @@
 // the floor.
 func (b *Budget) AllowShared(now time.Time, percent float64, entries int) bool {
 	b.own.advance(index(now))
-	requests, retries := b.own.sums()
-	recent := uint64(b.own.retries[b.own.at%slots])
+	requests, retries := b.fleet(now)
 	room := float64(b.floor)
+	if silent := entries - 1 - len(b.peers); silent > 0 {
+		room -= float64(b.floor) * float64(silent) / float64(entries)
+	}
+	if float64(retries+1) > float64(requests)*percent/100+room {
+		return false
+	}
+	b.own.retries[b.own.at%slots]++
+	b.retries++
+	return true
+}
+
+// fleet returns the requests and retries of the window over all entries, as far as their reports tell.
+func (b *Budget) fleet(now time.Time) (requests, retries uint64) {
+	requests, retries = b.own.sums()
+	recent := uint64(b.own.retries[b.own.at%slots])
 	for session, p := range b.peers {
 		if now.Sub(p.seen) > Window {
 			delete(b.peers, session)
@@ -82,15 +96,7 @@
 		requests += q
 		retries += r + recent
 	}
-	if silent := entries - 1 - len(b.peers); silent > 0 {
-		room -= float64(b.floor) * float64(silent) / float64(entries)
-	}
-	if float64(retries+1) > float64(requests)*percent/100+room {
-		return false
-	}
-	b.own.retries[b.own.at%slots]++
-	b.retries++
-	return true
+	return requests, retries
 }
 
 // Total is what one entry reports of one service.
@@ -136,19 +142,8 @@
 		return false
 	}
 	b.own.advance(index(now))
-	requests, retries := b.own.sums()
-	own := retries
-	recent := uint64(b.own.retries[b.own.at%slots])
-	for session, p := range b.peers {
-		if now.Sub(p.seen) > Window {
-			delete(b.peers, session)
-			continue
-		}
-		p.advance(index(now))
-		q, r := p.sums()
-		requests += q
-		retries += r + recent
-	}
+	_, own := b.own.sums()
+	requests, retries := b.fleet(now)
 	if (retries+1)*100 > requests*uint64(percent) && own >= max(1, b.floor/uint64(len(b.peers)+1)) {
 		return false
 	}
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -59,6 +59,46 @@
 	}
 }
 
+// TestSharedBudget guards against entries that exceed the fleet's budget together, against one that may not use what the
+// others leave, and against the floor being used once by each entry while they do not hear each other.
+func TestSharedBudget(t *testing.T) {
+	const entries, floor, percent = 4, 40, 10.0
+	for name, hear := range map[string]bool{"reports arrive": true, "nobody reports": false} {
+		now := time.Unix(1000, 0)
+		var budgets [entries]*Budget
+		for i := range budgets {
+			budgets[i] = WithFloor(floor)
+		}
+		requests, retries := 0, 0
+		for step := range 900 {
+			now = now.Add(10 * time.Millisecond)
+			// All requests and retries come through the first entry.
+			budgets[0].Request(now)
+			requests++
+			if budgets[0].AllowShared(now, percent, entries) {
+				retries++
+			}
+			if hear && step%20 == 0 {
+				for i, b := range budgets {
+					for j, other := range budgets {
+						if i != j {
+							q, r := other.Totals()
+							b.Peer(now, uint64(j), q, r)
+						}
+					}
+				}
+			}
+		}
+		most := float64(requests)*percent/100 + floor
+		if !hear {
+			most = float64(requests)*percent/100 + floor/entries
+		}
+		if float64(retries) > most || float64(retries) < most*0.5 {
+			t.Errorf("%s: got %d retries for %d requests, want at most %.0f and most of them", name, retries, requests, most)
+		}
+	}
+}
+
 // TestInTime guards against a retry that cannot end before its deadline.
 func TestInTime(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -133,7 +133,7 @@
 	engineShare = 0.93
 	// entryShare is the part of an engine's memory that is left for each entry beyond the first, for what it places there
 	// until the others hear of it.
-	entryShare = 0.0025
+	entryShare = 0.004
 	// leastShare is what remains in large fleets.
 	leastShare = 0.75
 )
