Count refunded requests once at the other entries

The total that an entry reports kept the tokens of requests that had not run, so that the other entries took them from the customer's limit for good. The next admissions now use up the refunds first. TestMeterRefundReachesPeers failed before.

--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -41,8 +41,8 @@
 	limit config.Limit
 	level float64
 	at    time.Time
-	// own is the sum of what this entry admitted.
-	own int64
+	// own is the sum of what this entry admitted, credit what of it was refunded and not admitted again.
+	own, credit int64
 	// queued is refused work that is expected to return.
 	queued float64
 	// met is set once a peer told its level, or this entry was the first.
@@ -113,7 +113,9 @@
 	b := m.bucket(now, name, limit)
 	if b.level > 0 {
 		b.level -= float64(tokens)
-		b.own += tokens
+		paid := min(b.credit, tokens)
+		b.credit -= paid
+		b.own += tokens - paid
 		return true, 0
 	}
 	wait := (b.queued - b.level) / float64(limit.TokensPerSecond)
@@ -126,6 +128,7 @@
 func (m *Meter) Refund(now time.Time, name string, limit config.Limit, tokens int64) {
 	b := m.bucket(now, name, limit)
 	b.level = min(b.level+float64(tokens), float64(b.limit.BurstTokens))
+	b.credit += tokens
 }
 
 // Report returns this entry's totals.
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -170,6 +170,23 @@
 	}
 }
 
+// TestMeterRefundReachesPeers guards against requests that did not run and use up the limit at the other entries.
+func TestMeterRefundReachesPeers(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
+	f := newMeterFleet(2, l)
+	f.exchange(nil)
+	for range 50 {
+		if ok, _ := f.meters[0].Take(f.now, "c", l, 900); !ok {
+			t.Fatal("refused after refunds")
+		}
+		f.meters[0].Refund(f.now, "c", l, 900)
+		f.exchange(nil)
+	}
+	if ok, _ := f.meters[1].Take(f.now, "c", l, 900); !ok {
+		t.Error("the other entry counts requests that did not run")
+	}
+}
+
 // TestMeterRefund guards against requests that did not run and still use up the limit.
 func TestMeterRefund(t *testing.T) {
 	l := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -133,7 +133,7 @@
 	forecast := q.router.forecast(u, q.need, q.call.PromptTokens)
 	target := q.route.Target
 	if kept.Handle != "" && time.Since(q.log.prefilled) < q.handleLifetime() {
-		// No byte of the request reached the engine before: the result of the prefill is still there.
+		// The engine before was not reached or did not run the request: the result of the prefill may still be there.
 		f.Source, f.Handle = kept.Source, kept.Handle
 		forecast.HasSplit = true
 	} else if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
