Learn a peer's use at its first report, whenever that comes

TestExchange failed once in a run of the tests: an entry that heard of a peer only after the peer had admitted requests, and after it had heard of others, never counted them. Ruled out: the exchange itself (reports arrived) and the machine's load (the new test shows it without time or sockets). The first report now lowers the level to the peer's in every case.

--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -45,8 +45,6 @@
 	own, credit int64
 	// queued is refused work that is expected to return.
 	queued float64
-	// met is set once a peer told its level, or this entry was the first.
-	met bool
 }
 
 type meterPeer struct {
@@ -157,15 +155,12 @@
 		if last, known := p.tokens[u.Bucket]; known || !first {
 			used := float64(max(0, u.Tokens-last)) - p.assumed[u.Bucket]
 			b.level = min(b.level-used, float64(limit.BurstTokens))
-		} else if !b.met && b.own == 0 {
-			// This entry has just started: the peer knows what was used before.
+		} else {
+			// The peer knows of use before the two heard of each other.
 			b.level = min(b.level, u.Level)
 		}
 		p.assumed[u.Bucket] = 0
 		p.tokens[u.Bucket] = max(p.tokens[u.Bucket], u.Tokens)
 	}
-	for _, b := range m.buckets {
-		b.met = b.met || !first
-	}
 	p.heard = now
 }
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -170,6 +170,30 @@
 	}
 }
 
+// TestMeterLateIntroduction guards against use that is never counted because an entry heard of its peer only after it, and
+// after other peers.
+func TestMeterLateIntroduction(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
+	f := newMeterFleet(3, l)
+	apart := func(a, b int) bool { return a+b == 1 }
+	f.exchange(apart)
+	f.exchange(apart)
+	if ok, _ := f.meters[2].Take(f.now, "c", l, 0); !ok {
+		t.Fatal("refused before any use")
+	}
+	f.exchange(apart)
+	f.exchange(apart)
+	if ok, _ := f.meters[0].Take(f.now, "c", l, 5000); !ok {
+		t.Fatal("the first request was refused")
+	}
+	f.exchange(nil)
+	for i, m := range f.meters {
+		if ok, _ := m.Take(f.now, "c", l, 0); ok {
+			t.Errorf("entry %d admits a customer that has used up its limit", i)
+		}
+	}
+}
+
 // TestMeterRefundReachesPeers guards against requests that did not run and use up the limit at the other entries.
 func TestMeterRefundReachesPeers(t *testing.T) {
 	l := config.Limit{TokensPerSecond: 1, BurstTokens: 1000}
