Remove dead code of the router and join two ways to pass an answer on

Table.Known and trace.began had no use; an answer read from a stream and one read at once went through copies of the same check.

--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -350,16 +350,6 @@
 	return 0, 0
 }
 
-// Known says whether the service has any upstream that accepts requests.
-func (t *Table) Known(service string) bool {
-	for _, s := range t.states {
-		if s.Service == service && s.Accepts {
-			return true
-		}
-	}
-	return false
-}
-
 // Count returns the number of upstreams that accept requests and were heard.
 func (t *Table) Count(service, role string) int {
 	n := 0
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -295,7 +295,7 @@
 
 // Serve implements http1.Handler.
 func (r *Router) Serve(x *http1.Exchange) {
-	q := &request{router: r, x: x, call: r.config.Codec.ReadCall(&x.Request.Header), log: trace{began: time.Now()}}
+	q := &request{router: r, x: x, call: r.config.Codec.ReadCall(&x.Request.Header)}
 	defer q.finish()
 	for _, filter := range []func() *refusal{q.findDocument, q.findRoute, q.findCustomer, q.bound, q.charge} {
 		if refused := filter(); refused != nil {
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -159,13 +159,16 @@
 }
 
 // passOn writes an upstream's whole answer to the caller.
-func (q *request) passOn(s *send) {
+func (q *request) passOn(s *send) { q.passBody(s, s.response.Body()) }
+
+// passBody writes an upstream's answer with a body that was read as a whole.
+func (q *request) passBody(s *send, body []byte) {
 	if promises(s.response.StatusCode()) && !s.notRun() && !q.idempotent() {
 		// The upstream may have run the request, but the status would promise the opposite.
 		q.refuse(&refusal{fasthttp.StatusBadGateway, "the upstream failed", 0})
 		return
 	}
-	if err := q.x.Whole(&s.response.Header, s.response.Body()); err != nil {
+	if err := q.x.Whole(&s.response.Header, body); err != nil {
 		q.log.reason = err.Error()
 	}
 }
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -111,14 +111,7 @@
 		q.refuse(&refusal{fasthttp.StatusBadGateway, "the upstream's answer was cut", 0})
 		return
 	}
-	s.response.Header.SetContentLength(len(body))
-	if promises(s.response.StatusCode()) && !s.notRun() && !q.idempotent() {
-		q.refuse(&refusal{fasthttp.StatusBadGateway, "the upstream failed", 0})
-		return
-	}
-	if err := q.x.Whole(&s.response.Header, body); err != nil {
-		q.log.reason = err.Error()
-	}
+	q.passBody(s, body)
 }
 
 // open places the request on a decode engine and sends it there, after a prefill engine has read its prompt where that is
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -18,7 +18,6 @@
 
 // trace is what the log says of one request.
 type trace struct {
-	began      time.Time
 	firstEvent time.Duration
 	events     int
 	// prefilled is when a prefill engine had read the prompt.
