Give each entry its turn at a bucket that is short of tokens

Cause: an entry whose request was granted asks at once for all that waits in its line. The owner then kept the level for that request, before the next poll of any other entry, so that one long line took each token until it was empty. A request at another entry waited for its patience of 2 s and was refused with 429 although its customer stayed within the rate. This is what TestLimitOverTheFleet/owner_and_control_leader_killed showed: the lines are long there, because no owner lends for 4 to 5 s.

Ruled out: owners that wait for reports of unknown loans (they answer "not owner", which extends the wait), and ends of sessions under other view indexes (the slowest first token of 3.2 s was served).

The owner now keeps refused requests in the order in which their entries asked first; a granted entry starts again at the end.

TestLongLineLeavesTurns fails without the change: 15 grants to the long line, none to the other entry.

--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -520,3 +520,45 @@
 		}
 	}
 }
+
+// TestLongLineLeavesTurns guards against an entry with many waiting requests that takes each token of a short bucket, so
+// that a request at another entry waits until the first one's line is empty, and is refused within the customer's rate.
+func TestLongLineLeavesTurns(t *testing.T) {
+	const (
+		charge, line = 50, 1000
+		poll         = 100 * time.Millisecond
+	)
+	limit := config.Limit{TokensPerSecond: 400, BurstTokens: 2000}
+	began := time.Unix(1000, 0)
+	owner := NewOwner()
+	owner.Open(began, "b", limit, Start{EmptyAt: began})
+	sequence := uint64(0)
+	ask := func(now time.Time, session uint64, want int64) bool {
+		sequence++
+		r := owner.Borrow(now, limit, Request{Session: session, Sequence: sequence, Bucket: "b", Want: want})
+		return r.RetryAfter == 0
+	}
+	granted := 0
+	for at := time.Duration(0); at < 2*time.Second; at += poll / 2 {
+		now := began.Add(at)
+		if at%poll != 0 {
+			if at > poll && ask(now, 2, charge) {
+				// One turn of each entry takes 125 ms of refill and up to a poll.
+				if want := poll + 2*(125*time.Millisecond+poll); at > want {
+					t.Errorf("got the other entry's tokens after %v, want at most %v", at, want)
+				}
+				if granted > 2 {
+					t.Errorf("got %d grants to the long line before the other entry's, want at most 2", granted)
+				}
+				return
+			}
+			continue
+		}
+		// A refused entry asks for the next charge alone, a granted one for all that waits.
+		if ask(now, 1, charge) {
+			granted++
+			ask(now, 1, line)
+		}
+	}
+	t.Errorf("got no tokens for the other entry in 2 s and %d grants to the long line, want a turn for each", granted)
+}
--- a/entry/limit/owner.go
+++ b/entry/limit/owner.go
@@ -100,11 +100,7 @@
 	lent         int64
 	loans        []Loan
 	headroom     headroom
-	// The level is collected for the request that was refused first, so that small requests do not starve a
-	// large one.
-	reservedFor   uint64
-	reserved      int64
-	reservedUntil time.Time
+	claims       claims
 }
 
 // Owner keeps the buckets that one entry owns.
@@ -266,27 +262,21 @@
 		return Response{Sequence: r.Sequence, Held: unspent, RetryAfter: b.retryAfter(now, r.Want)}
 	}
 	b.giveBack(loan, float64(max(0, returned)), r)
-	free := b.level
-	others := b.reservedFor != r.Session && now.Before(b.reservedUntil)
-	if others {
-		free -= float64(b.reserved)
-	}
+	ahead := b.claims.ahead(now, r.Session)
 	response := Response{Sequence: r.Sequence}
 	switch {
-	case r.Want > 0 && float64(r.Want) <= free:
+	case r.Want > 0 && float64(r.Want) <= b.level-float64(ahead):
 		b.level -= float64(r.Want)
 		b.lent += r.Want
 		loan.Tokens += r.Want
-		if !others {
-			b.reservedUntil = time.Time{}
-		}
-	case others:
-		response.RetryAfter = b.retryAfter(now, r.Want+b.reserved)
+		b.claims.drop(r.Session)
 	case r.Want > 0:
-		b.reservedFor, b.reserved, b.reservedUntil = r.Session, r.Want, now.Add(reserveFor)
-		response.RetryAfter = b.retryAfter(now, r.Want)
+		b.claims.put(claim{r.Session, r.Want, now.Add(reserveFor)})
+		response.RetryAfter = b.retryAfter(now, r.Want+ahead)
 	default:
-		b.reservedUntil = time.Time{}
+		b.claims.drop(r.Session)
+		// Without a claim of its own the session is behind all others.
+		response.RetryAfter = b.retryAfter(now, b.claims.ahead(now, r.Session))
 	}
 	response.Held = loan.Tokens
 	return response
