Refuse requests to the OpenAI listener whose end can be read in two ways

Cause: the HTTP library takes a request with both Transfer-Encoding and Content-Length as chunked, while a proxy in front may go by the length, so that one of them sees a second request in the body.

Before: such a request was answered as if its body were empty (400, and the connection went on). After: 400 invalid_framing and the connection closes.

--- a/entry/caller/trap_test.go
+++ b/entry/caller/trap_test.go
@@ -206,6 +206,10 @@
 		{"no key", "POST /bookings/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true, "401", "invalid_api_key"},
 		{"no route", "GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", true, "404", "not_found"},
 		{"method", "GET /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", true, "405", "method_not_allowed"},
+		// Behind such a request another server may see a second one that this one takes for its body.
+		{"length and chunks", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey +
+			"\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, "400", "invalid_framing"},
+		{"two hosts", "GET /v1/models HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", true, "400", "malformed_request"},
 		{"no upstream", post(chatBody + "}"), true, "503", "overloaded"},
 	}
 	for _, test := range tests {
--- a/entry/http1/exchange.go
+++ b/entry/http1/exchange.go
@@ -63,7 +63,7 @@
 	if bounds.HeaderBytes > 0 && len(h.RawHeaders()) > bounds.HeaderBytes {
 		return &refusal{fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large"}
 	}
-	if text := ambiguous(h); text != "" {
+	if text := Ambiguous(h); text != "" {
 		return &refusal{fasthttp.StatusBadRequest, text}
 	}
 	x.last = h.ConnectionClose() || !h.IsHTTP11()
@@ -118,8 +118,9 @@
 	return errors.As(err, &syscallError)
 }
 
-// ambiguous says why two parties might disagree on where the request ends, or what it says.
-func ambiguous(h *fasthttp.RequestHeader) string {
+// Ambiguous says why two parties might disagree on where the request ends, or what it says. It returns an empty string for
+// a request that every party reads alike.
+func Ambiguous(h *fasthttp.RequestHeader) string {
 	lengths, encodings, hosts := 0, 0, 0
 	for line := range bytes.Lines(h.RawHeaders()) {
 		line = bytes.TrimRight(line, "\r\n")
