Place generations by room that engines keep, and by what other entries saw

Entries place by loads that are 230 ms old.
A generation now reserves room at its decode engine before its prompt is read; an engine without room is left out for 100 ms.
- A stream that went on at another engine had its whole prompt read there, in the same way.
The engine now copies it from the prefill engine that read it first, or a prefill engine reads it if none has so far.
- 859 sends in 10 s went to engines that were gone: they have no load, so that each of 29 entries tried each of them.
Entries now tell each other which upstreams they ejected; those come after all sound ones, for a second, and not for an entry that had an answer since.
The plan now looks for the best split, changes one engine in twelve at a time, and knows the demand of all entries.
- Callers that came back during the burst in which they were refused were refused again.
One that cannot be answered in time any more now returns as late as it can wait.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -72,6 +72,9 @@
 	Slots, CacheTokens int
 	// HandleLifetime is how long an engine keeps the result of a prefill that nobody took.
 	HandleLifetime time.Duration
+	// Reservation is how long at most an engine keeps room for a request that is announced to it; 0 for engines that
+	// keep none.
+	Reservation time.Duration
 	// EventTokens is the number of output tokens in one event of a stream, at least 1.
 	EventTokens int
 }
--- a/core/event/request.go
+++ b/core/event/request.go
@@ -17,6 +17,7 @@
 	RequestEnded
 	HandleNotFreed
 	LinesDropped
+	RoomNotFreed
 )
 
 var requestEvents = map[ID]Description{
@@ -33,4 +34,5 @@
 	RequestEnded:        {log.InfoLevel, "request ended"},
 	HandleNotFreed:      {log.InfoLevel, "the result of a prefill could not be freed"},
 	LinesDropped:        {log.WarnLevel, "log lines were left out to bound their number"},
+	RoomNotFreed:        {log.InfoLevel, "reserved room could not be given back"},
 }
--- a/entry/order/stages.go
+++ b/entry/order/stages.go
@@ -24,12 +24,14 @@
 	// settleFor is how long the engines must have stayed the same before a change: an engine that starts again is back
 	// by then.
 	settleFor = 1500 * time.Millisecond
+	// atOnce is one part of a service's engines that may change their role at the same time; small services change one.
+	atOnce = 12
 	// switchTimeout is how long an engine may take to announce its new role.
 	switchTimeout = 20 * time.Second
 )
 
 // Stages plans the roles of engines by demand. It answers a service that lost engines, or whose prompts and answers
-// changed, so that one stage limits what the other could serve. It changes one engine at a time.
+// changed, so that one stage limits what the other could serve. It changes few engines at a time.
 type Stages struct {
 	// Demand returns what an average generation of a service asks for, and false while that is not known.
 	Demand func(service string) (Demand, bool)
@@ -37,12 +39,15 @@
 	pending map[string]pending
 	counts  map[string][2]int
 	since   map[string]time.Time
+	// goals is the number of prefill engines that a service is on its way to.
+	goals map[string]int
 }
 
 // Plan implements Plans.
 func (p *Stages) Plan(now time.Time, view *control.View) []Order {
 	if p.pending == nil {
 		p.pending, p.counts, p.since = map[string]pending{}, map[string][2]int{}, map[string]time.Time{}
+		p.goals = map[string]int{}
 	}
 	for id, waiting := range p.pending {
 		u := view.Upstreams[id]
@@ -60,7 +65,7 @@
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		engines := byService[service]
 		slices.SortFunc(engines, func(a, b *fleetpb.Upstream) int { return cmp.Compare(a.Id, b.Id) })
-		if o, ok := p.planService(now, service, engines); ok {
+		for _, o := range p.planService(now, service, engines) {
 			p.pending[o.Upstream] = pending{order: o, until: now.Add(switchTimeout)}
 			orders = append(orders, o)
 		}
@@ -71,13 +76,17 @@
 // Pending says whether an engine has an order that it has not announced yet.
 func (p *Stages) Pending() bool { return len(p.pending) > 0 }
 
-func (p *Stages) planService(now time.Time, service string, engines []*fleetpb.Upstream) (Order, bool) {
+func (p *Stages) planService(now time.Time, service string, engines []*fleetpb.Upstream) []Order {
+	// Engines that change count under the role that they get.
 	var counts [2]int
+	free := max(1, len(engines)/atOnce)
 	for _, u := range engines {
-		if _, busy := p.pending[u.Id]; busy {
-			return Order{}, false
+		role := u.Role
+		if changing, busy := p.pending[u.Id]; busy {
+			role = changing.order.Role
+			free--
 		}
-		switch u.Role {
+		switch role {
 		case rolePrefill:
 			counts[0]++
 		case roleDecode:
@@ -86,24 +95,36 @@
 	}
 	if p.counts[service] != counts {
 		p.counts[service], p.since[service] = counts, now
+		delete(p.goals, service)
 	}
 	demand, ok := p.Demand(service)
 	if !ok || now.Sub(p.since[service]) < settleFor {
-		return Order{}, false
+		return nil
 	}
-	from, to := rolePrefill, roleDecode
-	switch step := step(counts[0], counts[1], demand); step {
-	case 0:
-		return Order{}, false
-	case 1:
-		from, to = roleDecode, rolePrefill
+	goal, changing := p.goals[service]
+	if !changing || goal >= counts[0]+counts[1] || goal == counts[0] {
+		goal = bestPrefill(counts[0], counts[1], demand)
 	}
+	p.goals[service] = goal
+	from, to, missing := rolePrefill, roleDecode, counts[0]-goal
+	if missing < 0 {
+		from, to, missing = roleDecode, rolePrefill, -missing
+	}
+	var orders []Order
 	for _, u := range engines {
-		if u.Role == from {
-			return Order{Kind: SetRole, Role: to, Upstream: u.Id, Address: u.Address}, true
+		if _, busy := p.pending[u.Id]; u.Role == from && !busy && len(orders) < min(free, missing) {
+			orders = append(orders, Order{Kind: SetRole, Role: to, Upstream: u.Id, Address: u.Address})
+		}
+	}
+	if len(orders) > 0 {
+		// What the orders change does not count as a change from outside.
+		moved := len(orders)
+		if from == roleDecode {
+			moved = -moved
 		}
+		p.counts[service] = [2]int{counts[0] - moved, counts[1] + moved}
 	}
-	return Order{}, false
+	return orders
 }
 
 // rate is how many generations in a second the engines can serve.
@@ -111,20 +132,23 @@
 	return min(float64(prefill)/d.Read.Seconds(), float64(decode)/d.Hold.Seconds())
 }
 
-// step returns 1 when one more prefill engine serves enough more generations, -1 when one fewer does, and 0 otherwise.
-func step(prefill, decode int, d Demand) int {
+// bestPrefill returns how many of the engines should be prefill engines: the number that serves the most generations if
+// those are enough more than now, and the present number otherwise.
+func bestPrefill(prefill, decode int, d Demand) int {
 	// A service whose engines all have one stage was set up without the other one.
 	if d.Read <= 0 || d.Hold <= 0 || prefill == 0 || decode == 0 {
-		return 0
+		return prefill
+	}
+	engines, best := prefill+decode, prefill
+	for n := 1; n < engines; n++ {
+		if rate(n, engines-n, d) > rate(best, engines-best, d) {
+			best = n
+		}
 	}
-	now := rate(prefill, decode, d)
-	switch {
-	case decode > 1 && rate(prefill+1, decode-1, d) > now*worthSwitching:
-		return 1
-	case prefill > 1 && rate(prefill-1, decode+1, d) > now*worthSwitching:
-		return -1
+	if rate(best, engines-best, d) > rate(prefill, decode, d)*worthSwitching {
+		return best
 	}
-	return 0
+	return prefill
 }
 
 // Failed implements Plans. The engine may still carry the order out, so that it gets no other one for a while.
--- a/entry/order/stages_test.go
+++ b/entry/order/stages_test.go
@@ -8,25 +8,29 @@
 	"azuredoor.example/entry/control"
 )
 
-// TestStep guards against stages that stay out of proportion, and against engines that change back and forth.
-func TestStep(t *testing.T) {
+// TestBestPrefill guards against stages that stay out of proportion, in services of few and of many engines, and against
+// engines that change back and forth.
+func TestBestPrefill(t *testing.T) {
 	demand := Demand{Read: 94 * time.Millisecond, Hold: 264 * time.Millisecond}
+	long := Demand{Read: 94 * time.Millisecond, Hold: 392 * time.Millisecond}
 	for _, test := range []struct {
-		prefill, decode, want int
+		prefill, decode int
+		demand          Demand
+		want            int
 	}{
-		{3, 6, 0}, {2, 7, 0}, {4, 5, -1}, {4, 3, -1}, {3, 4, -1}, {2, 5, 0}, {1, 8, 1}, {1, 1, 0}, {2, 1, -1}, {0, 4, 0},
+		{3, 6, demand, 3}, {2, 7, demand, 2}, {4, 5, demand, 3}, {4, 3, demand, 2}, {3, 4, demand, 2}, {2, 5, demand, 2}, {1, 8, demand, 3},
+		{1, 1, demand, 1}, {2, 1, demand, 1}, {0, 4, demand, 0}, {4, 3, Demand{}, 4},
+		// One more engine of 38 changes little, several change enough.
+		{13, 25, long, 8}, {9, 29, long, 9}, {3, 35, long, 8}, {8, 30, long, 8},
 	} {
-		if got := step(test.prefill, test.decode, demand); got != test.want {
-			t.Errorf("%d prefill and %d decode engines: got %d, want %d", test.prefill, test.decode, got, test.want)
+		got := bestPrefill(test.prefill, test.decode, test.demand)
+		if got != test.want {
+			t.Errorf("%d prefill and %d decode engines: got %d prefill engines, want %d", test.prefill, test.decode, got, test.want)
 		}
-		next := test.prefill + step(test.prefill, test.decode, demand)
-		if again := step(next, test.prefill+test.decode-next, demand); again*test.want < 0 {
-			t.Errorf("%d prefill and %d decode engines: the change is taken back", test.prefill, test.decode)
+		if again := bestPrefill(got, test.prefill+test.decode-got, test.demand); again != got {
+			t.Errorf("%d prefill and %d decode engines: the change to %d goes on to %d", test.prefill, test.decode, got, again)
 		}
 	}
-	if got := step(4, 3, Demand{}); got != 0 {
-		t.Errorf("unknown demand: got %d, want no change", got)
-	}
 }
 
 func stageView(prefill, decode int) *control.View {
@@ -44,7 +48,7 @@
 	return view
 }
 
-// TestStages guards against several engines that change at once, orders that are repeated while an engine changes, and
+// TestStages guards against too many engines that change at once, orders that are repeated while an engine changes, and
 // orders while engines come and go.
 func TestStages(t *testing.T) {
 	known := false
@@ -60,7 +64,7 @@
 		t.Errorf("unknown demand: got %v, want no order", got)
 	}
 	known = true
-	view = stageView(4, 4)
+	view = stageView(4, 5)
 	if got := plan(time.Second); len(got) != 0 {
 		t.Errorf("just after a change: got %v, want no order", got)
 	}
@@ -71,9 +75,38 @@
 	if again := plan(settleFor); len(again) != 0 || !p.Pending() {
 		t.Errorf("while an engine changes: got %v, want no order", again)
 	}
-	view = stageView(4, 4)
+	view = stageView(4, 5)
 	view.Upstreams[got[0].Upstream].Role = got[0].Role
 	if got := plan(time.Second); len(got) != 0 || p.Pending() {
 		t.Errorf("after the change: got %v, pending %v, want neither", got, p.Pending())
 	}
 }
+
+// TestManyStages guards against large services whose engines change one after the other for minutes, and against half of
+// them out of service at once.
+func TestManyStages(t *testing.T) {
+	p := &Stages{Demand: func(string) (Demand, bool) {
+		return Demand{Read: 94 * time.Millisecond, Hold: 392 * time.Millisecond}, true
+	}}
+	now, view := time.Unix(0, 0), stageView(13, 25)
+	p.Plan(now, view)
+	now = now.Add(settleFor)
+	total := 0
+	for total < 5 {
+		orders := p.Plan(now, view)
+		if want := min(3, 5-total); len(orders) != want {
+			t.Fatalf("after %d changes: got %d orders, want %d", total, len(orders), want)
+		}
+		now = now.Add(settleFor)
+		if again := p.Plan(now, view); len(again) != 0 {
+			t.Errorf("while engines change: got %d orders more, want none", len(again))
+		}
+		for _, o := range orders {
+			view.Upstreams[o.Upstream].Role = o.Role
+		}
+		total += len(orders)
+	}
+	if again := p.Plan(now.Add(time.Minute), view); len(again) != 0 {
+		t.Errorf("after all changes: got %d orders, want none", len(again))
+	}
+}
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -76,11 +76,13 @@
 	Replaced
 	// Cancelled means that the caller went away; it says nothing of the upstream.
 	Cancelled
+	// Full means that the upstream had no room for the request, which was not sent.
+	Full
 )
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
-	return [...]string{"served", "erred", "refused", "broken", "unreachable", "replaced", "cancelled"}[o]
+	return [...]string{"served", "erred", "refused", "broken", "unreachable", "replaced", "cancelled", "full"}[o]
 }
 
 const (
@@ -101,10 +103,15 @@
 	// changes its role refuses all requests for seconds.
 	brokenInARow  = 2
 	refusedInARow = 2
+	// suspectFor is how long an ejection by another entry counts: a few reports of it in a large fleet.
+	suspectFor = time.Second
 	// sampleAbove is the number of candidates above which a choice looks at sampleSize of them only: a handful of entries
 	// before fewer upstreams sees most of the load itself.
 	sampleAbove = 10
 	sampleSize  = 3
+	// fullFor is how long an upstream without room is left out. An engine with ten answers of some seconds under way has
+	// room for another one a few times in a second.
+	fullFor = 100 * time.Millisecond
 	// unheardPenalty makes an upstream whose announcements stopped a last choice.
 	unheardPenalty = 50
 )
@@ -123,6 +130,10 @@
 	// ejections counts those without a success in between.
 	ejections int
 	ejected   time.Time
+	// fullUntil is when the upstream may have room again.
+	fullUntil time.Time
+	// answered is when the upstream last answered this entry, suspected when another entry last told that it ejected it.
+	answered, suspected time.Time
 }
 
 func (s *state) failure(now time.Time) float64 {
@@ -147,21 +158,29 @@
 	ID             string
 	Incarnation    uint64
 	Work, Requests int
+	// Ejected is set while the entry gives the upstream no requests, because of its own failed ones.
+	Ejected bool
 }
 
 // Loads returns what this entry has running, for the other entries.
-func (t *Table) Loads() []Load {
+func (t *Table) Loads(now time.Time) []Load {
 	var loads []Load
 	for _, id := range t.order {
-		if s := t.states[id]; s.requests > 0 {
-			loads = append(loads, Load{s.ID, s.Incarnation, s.running, s.requests})
+		s := t.states[id]
+		if ejected := now.Before(s.ejected); s.requests > 0 || ejected {
+			loads = append(loads, Load{s.ID, s.Incarnation, s.running, s.requests, ejected})
 		}
 	}
 	return loads
 }
 
+// suspect says whether another entry ejected the upstream after this one last had an answer from it.
+func (s *state) suspect(now time.Time) bool {
+	return s.suspected.After(s.answered) && now.Sub(s.suspected) < suspectFor
+}
+
 // Observe replaces what another entry has running. Without loads the entry is forgotten.
-func (t *Table) Observe(session uint64, loads []Load) {
+func (t *Table) Observe(now time.Time, session uint64, loads []Load) {
 	for _, s := range t.states {
 		delete(s.others, session)
 	}
@@ -171,6 +190,9 @@
 				s.others = map[uint64]Load{}
 			}
 			s.others[session] = l
+			if l.Ejected {
+				s.suspected = now
+			}
 		}
 	}
 }
@@ -231,32 +253,42 @@
 	s.requests++
 }
 
-// best finds the cheapest upstream; ejected ones count only when there is no other.
+// tier ranks an upstream by what this entry and the others have seen of it: 0 is sound, 1 is ejected by another entry, 2 by
+// this one.
+func (s *state) tier(now time.Time) int {
+	switch {
+	case now.Before(s.ejected):
+		return 2
+	case s.suspect(now):
+		return 1
+	}
+	return 0
+}
+
+// best finds the cheapest upstream. One that other entries ejected counts only when no sound one has room, an ejected one
+// only when there is no other.
 func (t *Table) best(now time.Time, need Need) (*state, error) {
 	var candidates []*state
 	accepting, lowest := 0, math.Inf(1)
-	for _, ejected := range []bool{false, true} {
+	for tier := range 3 {
+		if tier == 2 && accepting > 0 {
+			return nil, ErrBusy
+		}
 		for i := range t.order {
 			s := t.states[t.order[(i+t.turn)%len(t.order)]]
-			if s.Service != need.Service || s.Role != need.Role || !s.Accepts || slices.Contains(need.Exclude, s.ID) {
-				continue
-			}
-			if now.Before(s.ejected) != ejected {
+			if s.Service != need.Service || s.Role != need.Role || !s.Accepts || slices.Contains(need.Exclude, s.ID) || s.tier(now) != tier {
 				continue
 			}
 			accepting++
-			if s.full(need.Work) {
+			if s.full(need.Work) || now.Before(s.fullUntil) {
 				continue
 			}
 			candidates = append(candidates, s)
 			lowest = min(lowest, s.failure(now))
 		}
-		if len(candidates) > 0 || ejected {
+		if len(candidates) > 0 {
 			break
 		}
-		if accepting > 0 {
-			return nil, ErrBusy
-		}
 	}
 	if accepting == 0 {
 		return nil, ErrNone
@@ -306,8 +338,14 @@
 	}
 	s.running = max(0, s.running-need.Work)
 	s.requests = max(0, s.requests-1)
+	if outcome == Served || outcome == Erred || outcome == Refused || outcome == Full {
+		s.answered = now
+	}
 	grade := map[Outcome]float64{Erred: 0.5, Refused: 0.7, Broken: 1, Unreachable: 1, Replaced: 1}
-	if outcome == Cancelled {
+	if outcome == Full {
+		s.fullUntil = now.Add(fullFor)
+	}
+	if outcome == Cancelled || outcome == Full {
 		return 0
 	}
 	before := s.failure(now)
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -37,13 +37,13 @@
 			}
 		}, need, "", ErrBusy},
 		"full by other entries": {[]Upstream{service("a", "near", 10), service("b", "far", 10)}, func(t *Table) {
-			t.Observe(7, []Load{{ID: "a", Incarnation: 1, Work: 10, Requests: 2}})
+			t.Observe(epoch, 7, []Load{{ID: "a", Incarnation: 1, Work: 10, Requests: 2}})
 		}, need, "b", nil},
 		"another incarnation's load": {[]Upstream{service("a", "near", 10), service("b", "far", 10)}, func(t *Table) {
-			t.Observe(7, []Load{{ID: "a", Incarnation: 9, Work: 10, Requests: 2}})
+			t.Observe(epoch, 7, []Load{{ID: "a", Incarnation: 9, Work: 10, Requests: 2}})
 		}, need, "a", nil},
 		"no slot": {[]Upstream{{ID: "a", Service: "s", Accepts: true, Heard: true, Slots: 2}, service("b", "far", 0)}, func(t *Table) {
-			t.Observe(7, []Load{{ID: "a", Incarnation: 0, Work: 2, Requests: 2}})
+			t.Observe(epoch, 7, []Load{{ID: "a", Incarnation: 0, Work: 2, Requests: 2}})
 		}, need, "b", nil},
 		"ejected": {[]Upstream{service("a", "near", 0), service("b", "far", 0)}, func(t *Table) {
 			t.End(epoch, service("a", "near", 0), need, Unreachable)
@@ -211,7 +211,7 @@
 			for a, from := range tables {
 				for b, to := range tables {
 					if a != b {
-						to.Observe(uint64(a), from.Loads())
+						to.Observe(now, uint64(a), from.Loads(now))
 					}
 				}
 			}
@@ -259,7 +259,7 @@
 		for i, u := range upstreams {
 			loads = append(loads, Load{ID: u.ID, Incarnation: 1, Work: 5 + i%5, Requests: 5 + i%5})
 		}
-		table.Observe(99, loads)
+		table.Observe(epoch, 99, loads)
 		u, err := table.Pick(epoch, Need{Service: "s", Work: 1, FailureDomain: "d"})
 		if err != nil {
 			t.Fatal(err)
@@ -302,18 +302,26 @@
 		now = now.Add(100 * time.Millisecond)
 		r.Ended(now)
 	}
+	const target, patience = 900 * time.Millisecond, 14 * time.Second
+	late := min(longestReturn, time.Duration(patienceShare*float64(patience)))
 	var last time.Duration
 	for i := range 60 {
-		got := r.Refused(now)
-		if got < last || got < shortestReturn || got > longestReturn {
-			t.Fatalf("refusal %d: got %v after %v, want later ones within %v to %v", i, got, last, shortestReturn, longestReturn)
+		got := r.Refused(now, target, patience)
+		if got < last || got < shortestReturn || got > late {
+			t.Fatalf("refusal %d: got %v after %v, want later ones within %v to %v", i, got, last, shortestReturn, late)
+		}
+		if got > target/2 && got != late {
+			t.Fatalf("refusal %d: got %v, want %v for a caller that cannot be answered in %v", i, got, late, target)
 		}
 		last = got
 	}
-	if last != longestReturn {
-		t.Errorf("got %v for the 60th caller at 10 ends a second, want %v", last, longestReturn)
+	if last != late {
+		t.Errorf("got %v for the 60th caller at 10 ends a second, want %v", last, late)
+	}
+	if got := r.Refused(now, 100*time.Millisecond, 1500*time.Millisecond); got > 500*time.Millisecond {
+		t.Errorf("got %v for a caller that waits 1.5 s, want at most a third of that", got)
 	}
-	if got := r.Refused(now.Add(time.Minute)); got != shortestReturn {
+	if got := r.Refused(now.Add(time.Minute), target, patience); got != shortestReturn {
 		t.Errorf("got %v after a quiet minute, want %v", got, shortestReturn)
 	}
 }
@@ -331,3 +339,89 @@
 		t.Errorf("got %+v, want 5000 prompt tokens and room %v", d, want)
 	}
 }
+
+// TestDemandOfOtherEntries guards against roles that are planned late in a large fleet, where each entry sees few of the
+// generations, and against reports that count twice.
+func TestDemandOfOtherEntries(t *testing.T) {
+	var d, peer Demand
+	for range demandKnown {
+		peer.Add(5000, 4000, 3*time.Second)
+		d.Observe(7, peer.Own())
+		d.Observe(7, peer.Own())
+	}
+	if want := 7000 * float64(3*time.Second); !d.Known() || d.Prompt != 5000 || d.Room < want*0.99 || d.Room > want*1.01 {
+		t.Errorf("got %+v, want 5000 prompt tokens and room %v", d, want)
+	}
+	if d.count != demandKnown || d.Own().Generations != 0 {
+		t.Errorf("got %d generations, %d of them own, want %d of the other entry", d.count, d.Own().Generations, demandKnown)
+	}
+	d.Keep(map[uint64]bool{8: true})
+	if len(d.peers) != 0 {
+		t.Errorf("got %d peers after their sessions ended, want none", len(d.peers))
+	}
+}
+
+// TestStopping guards against callers that are sent from one stopping entry to the next although their answers would have
+// ended in time, and against long answers that are cut at the end of the process.
+func TestStopping(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, test := range []struct {
+		since, expected time.Duration
+		want            bool
+	}{
+		{500 * time.Millisecond, 0, true},
+		{500 * time.Millisecond, 20 * time.Second, true},
+		{1500 * time.Millisecond, 0, false},
+		{1500 * time.Millisecond, 3800 * time.Millisecond, true},
+		{1500 * time.Millisecond, 6 * time.Second, false},
+		{2700 * time.Millisecond, 3800 * time.Millisecond, true},
+		{2700 * time.Millisecond, 4500 * time.Millisecond, false},
+		{3500 * time.Millisecond, time.Second, false},
+	} {
+		if got := Stopping(grace, grace-test.since, test.expected); got != test.want {
+			t.Errorf("%v after the signal, answer of %v: got %v, want %v", test.since, test.expected, got, test.want)
+		}
+	}
+}
+
+// TestSuspects guards against entries of a large fleet that each find out for themselves that an upstream is gone, against
+// a cut-off entry whose reports take sound upstreams away from others, and against reports that count for long.
+func TestSuspects(t *testing.T) {
+	now := time.Unix(100, 0)
+	need := Need{Service: "s", Work: 1}
+	table, other := NewTable(0), NewTable(1)
+	upstreams := []Upstream{
+		{ID: "gone", Service: "s", Accepts: true, Heard: true, Slots: 4, Incarnation: 1},
+		{ID: "sound", Service: "s", Accepts: true, Heard: true, Slots: 4, Incarnation: 1},
+	}
+	table.Set(upstreams)
+	other.Set(upstreams)
+	gone := upstreams[0]
+	if other.End(now, gone, need, Unreachable) == 0 {
+		t.Fatal("an unreachable upstream was not ejected")
+	}
+	table.Observe(now, 7, other.Loads(now))
+	for i := range 4 {
+		if got, err := table.Pick(now, need); err != nil || got.ID != "sound" {
+			t.Errorf("pick %d: got %q, %v, want the sound upstream", i, got.ID, err)
+		}
+	}
+	got, err := table.Pick(now, need)
+	if err != nil || got.ID != "gone" {
+		t.Errorf("without room elsewhere: got %q, %v, want the suspected upstream", got.ID, err)
+	}
+	// An answer of its own counts more than another entry's earlier report.
+	now = now.Add(100 * time.Millisecond)
+	table.End(now, gone, need, Served)
+	if s := table.states["gone"]; s.suspect(now) {
+		t.Error("after an answer: got a suspected upstream, want a sound one")
+	}
+	table.Observe(now.Add(time.Millisecond), 7, []Load{{ID: "gone", Incarnation: 2, Ejected: true}})
+	if s := table.states["gone"]; s.suspect(now.Add(time.Millisecond)) {
+		t.Error("another incarnation: got a suspected upstream, want a sound one")
+	}
+	table.Observe(now.Add(time.Millisecond), 7, []Load{{ID: "gone", Incarnation: 1, Ejected: true}})
+	if s := table.states["gone"]; !s.suspect(now.Add(time.Millisecond)) || s.suspect(now.Add(suspectFor+time.Second)) {
+		t.Error("want the report of another entry to count for a while only")
+	}
+}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -57,6 +57,9 @@
 	Observe(session uint64, loads []place.Load)
 	Retries() []retry.Total
 	ObserveRetries(session uint64, totals []retry.Total)
+	// Demands returns what this entry's generations have asked of engines, by service.
+	Demands() map[string]place.DemandTotal
+	ObserveDemands(session uint64, totals map[string]place.DemandTotal)
 }
 
 // New returns a limiter; Run exchanges reports, which carry loads as well.
@@ -160,12 +163,17 @@
 	report := &fleetpb.UseReport{SessionId: own}
 	for _, load := range l.loads.Loads() {
 		report.Upstreams = append(report.Upstreams, &fleetpb.UpstreamUse{
-			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests),
+			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests), Ejected: load.Ejected,
 		})
 	}
 	for _, t := range l.loads.Retries() {
 		report.Services = append(report.Services, &fleetpb.ServiceUse{Service: t.Service, Requests: t.Requests, Retries: t.Retries})
 	}
+	for service, d := range l.loads.Demands() {
+		report.Demands = append(report.Demands, &fleetpb.ServiceDemand{
+			Service: service, Generations: d.Generations, PromptTokens: d.PromptTokens, Room: d.RoomMillis,
+		})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range l.meter.Report(time.Now()) {
@@ -181,7 +189,7 @@
 	}
 	loads := make([]place.Load, 0, len(report.Upstreams))
 	for _, u := range report.Upstreams {
-		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests)})
+		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests), Ejected: u.Ejected})
 	}
 	l.loads.Observe(session, loads)
 	totals := make([]retry.Total, 0, len(report.Services))
@@ -189,6 +197,11 @@
 		totals = append(totals, retry.Total{Service: s.Service, Requests: s.Requests, Retries: s.Retries})
 	}
 	l.loads.ObserveRetries(session, totals)
+	demands := map[string]place.DemandTotal{}
+	for _, d := range report.Demands {
+		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, RoomMillis: d.Room}
+	}
+	l.loads.ObserveDemands(session, demands)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.meter.Observe(time.Now(), session, uses, l.control.View().Limit)
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -32,6 +32,17 @@
 	loads []place.Load
 	seen  map[uint64][]place.Load
 	tried map[uint64][]retry.Total
+	asked map[uint64]map[string]place.DemandTotal
+}
+
+func (f *fakeLoads) Demands() map[string]place.DemandTotal {
+	return map[string]place.DemandTotal{"s": {Generations: 3, PromptTokens: 30, RoomMillis: 300}}
+}
+
+func (f *fakeLoads) ObserveDemands(session uint64, totals map[string]place.DemandTotal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked[session] = totals
 }
 
 func (f *fakeLoads) Loads() []place.Load { return f.loads }
@@ -67,7 +78,7 @@
 		}
 		view.Sessions[id] = &fleetpb.Session{Id: id, PeerAddress: ln.Addr().String()}
 		l := New(&fakeControl{view, id}, fleetrpc.Dialer{Secret: "x"})
-		one := &fakeLoads{loads: []place.Load{{ID: "u", Incarnation: 1, Work: int(id), Requests: 1}}, seen: map[uint64][]place.Load{}, tried: map[uint64][]retry.Total{}}
+		one := &fakeLoads{loads: []place.Load{{ID: "u", Incarnation: 1, Work: int(id), Requests: 1}}, seen: map[uint64][]place.Load{}, tried: map[uint64][]retry.Total{}, asked: map[uint64]map[string]place.DemandTotal{}}
 		l.Share(one)
 		limiters, loads = append(limiters, l), append(loads, one)
 		server := fleetrpc.NewServer("x", event.Discard())
@@ -92,6 +103,11 @@
 		defer loads[0].mu.Unlock()
 		return len(loads[0].seen[2]) == 1 && loads[0].seen[2][0].Work == 2 && len(loads[0].seen[3]) == 1 && len(loads[0].tried[3]) == 1
 	})
+	await("demand of another entry", func() bool {
+		loads[0].mu.Lock()
+		defer loads[0].mu.Unlock()
+		return loads[0].asked[2]["s"] == place.DemandTotal{Generations: 3, PromptTokens: 30, RoomMillis: 300}
+	})
 	if ok, _ := limiters[0].Take("c", within, 5000); !ok {
 		t.Fatal("the first request was refused")
 	}
--- a/entry/web/codec.go
+++ b/entry/web/codec.go
@@ -38,8 +38,12 @@
 	Prefill bool
 	// Source names a prefill's result: the engine's address and the handle. Empty for none.
 	Source, Handle string
+	// Fetch is the address of an engine that may still have read the prompt, empty for none.
+	Fetch string
 	// LastEvent is the ID of the last event that reached the caller, empty for none.
 	LastEvent string
+	// Reservation is the ID of the room that the engine keeps for the request, empty for none.
+	Reservation string
 }
 
 // Marks is what an upstream's response header says to the router.
@@ -69,4 +73,10 @@
 	ReadHandle(body []byte) (string, error)
 	// FreeHandle makes the request that frees a prefill's result.
 	FreeHandle(r *fasthttp.Request, handle string)
+	// Reserve makes the request that reserves room on an engine for a generation, for at most the lifetime.
+	Reserve(r *fasthttp.Request, tokens int, lifetime time.Duration)
+	// ReadReservation reads the ID of reserved room.
+	ReadReservation(body []byte) (string, error)
+	// Release makes the request that gives reserved room back.
+	Release(r *fasthttp.Request, id string)
 }
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -38,6 +38,9 @@
 	charged int64
 	// runs counts the sends that may have run, sends all that were written to an upstream.
 	runs, sends int
+	// reader is the address of the prefill engine that read the prompt, at readAt; empty for none.
+	reader string
+	readAt time.Time
 	// ran is set when an upstream may have begun to work on the request.
 	ran bool
 	log trace
@@ -57,9 +60,6 @@
 	startRetry = 250 * time.Millisecond
 	// startTakes is how long an entry needs until it serves when the control group starts with it.
 	startTakes = 1500 * time.Millisecond
-	// stopAccepts is how long after a stop signal requests are taken whose timeout lies beyond the end. Most answers that
-	// begin by then end in time; later callers are better off at another entry.
-	stopAccepts = time.Second
 	// stopRetry is when a caller may turn to another entry.
 	stopRetry = 20 * time.Millisecond
 	// busyRetry is when a caller may return after all upstreams were busy: a few service times.
@@ -130,9 +130,6 @@
 		patience = defaultPatience
 	}
 	q.deadline = q.x.Arrived.Add(min(patience, q.route.Timeout) - answerMargin)
-	if left, ending := q.x.Left(); ending && left < q.route.Timeout && left < q.router.config.Grace-stopAccepts {
-		return &refusal{fasthttp.StatusServiceUnavailable, "this entry is stopping", stopRetry}
-	}
 	q.ctx, q.cancel = context.WithDeadline(q.x.Context, q.deadline)
 	q.service = q.route.Service(rand.Uint64())
 	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
@@ -141,6 +138,9 @@
 		q.expected = q.router.expect(q.route.Name, q.call)
 		q.need.Work = max(1, q.call.PromptTokens+int(float64(q.expected)*outputShare))
 	}
+	if left, ending := q.x.Left(); ending && left < q.route.Timeout && !place.Stopping(q.router.config.Grace, left, q.router.lasts(q.service, q.expected)) {
+		return &refusal{fasthttp.StatusServiceUnavailable, "this entry is stopping", stopRetry}
+	}
 	return nil
 }
 
@@ -216,7 +216,7 @@
 	case errors.Is(err, place.ErrNone):
 		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", startRetry}
 	default:
-		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service are busy", q.router.refusedFor(q.service)}
+		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service are busy", q.router.refusedFor(q.service, q.route.Target, time.Until(q.deadline))}
 	}
 }
 
@@ -237,10 +237,7 @@
 func (r *Router) learn(q *request, tokens int, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.demands[q.service] == nil {
-		r.demands[q.service] = &place.Demand{}
-	}
-	r.demands[q.service].Add(q.call.PromptTokens, tokens, took)
+	r.demand(q.service).Add(q.call.PromptTokens, tokens, took)
 	route := q.route.Name
 	mean := r.lengths[route]
 	if mean == 0 {
@@ -249,16 +246,26 @@
 	r.lengths[route] = mean + lengthGain*(float64(tokens)-mean)
 }
 
+// lasts returns how long an answer of that many output tokens lasts, or 0 while that is not known.
+func (r *Router) lasts(service string, output int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d := r.demands[service]; d != nil {
+		return d.Lasts(output)
+	}
+	return 0
+}
+
 // startsIn returns when an entry that knows no current configuration is expected to have one.
 func (r *Router) startsIn() time.Duration {
 	return min(max(startTakes-time.Since(r.started), startRetry), startTakes)
 }
 
 // refusedFor returns when a caller that found no room should return.
-func (r *Router) refusedFor(service string) time.Duration {
+func (r *Router) refusedFor(service string, target, patience time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.returnsOf(service).Refused(time.Now())
+	return r.returnsOf(service).Refused(time.Now(), target, patience)
 }
 
 // returnsOf returns the record of a service's refused callers. The caller holds the lock.
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -121,6 +121,13 @@
 	defer r.mu.Unlock()
 	r.table.Set(upstreams)
 	r.entries = max(1, len(view.Sessions))
+	sessions := make(map[uint64]bool, len(view.Sessions))
+	for id := range view.Sessions {
+		sessions[id] = true
+	}
+	for _, d := range r.demands {
+		d.Keep(sessions)
+	}
 	r.wake()
 }
 
@@ -133,9 +140,9 @@
 	engineShare = 0.93
 	// entryShare is the part of an engine's memory that is left for each entry beyond the first, for what it places there
 	// until the others hear of it.
-	entryShare = 0.004
+	entryShare = 0.0075
 	// leastShare is what remains in large fleets.
-	leastShare = 0.75
+	leastShare = 0.7
 )
 
 // roomShareFor returns the part of an engine's memory that a number of entries fill.
@@ -229,14 +236,14 @@
 func (r *Router) Loads() []place.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Loads()
+	return r.table.Loads(time.Now())
 }
 
 // Observe implements usage.Loads.
 func (r *Router) Observe(session uint64, loads []place.Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Observe(session, loads)
+	r.table.Observe(time.Now(), session, loads)
 	r.wake()
 }
 
@@ -256,6 +263,36 @@
 	return order.Demand{Read: r.table.Reading(d.Prompt), Hold: time.Duration(float64(d.Room) / (float64(s.Engine.CacheTokens) * engineShare))}, true
 }
 
+// Demands implements usage.Loads.
+func (r *Router) Demands() map[string]place.DemandTotal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	totals := make(map[string]place.DemandTotal, len(r.demands))
+	for service, d := range r.demands {
+		totals[service] = d.Own()
+	}
+	return totals
+}
+
+// ObserveDemands implements usage.Loads.
+func (r *Router) ObserveDemands(session uint64, totals map[string]place.DemandTotal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, total := range totals {
+		r.demand(service).Observe(session, total)
+	}
+}
+
+// demand returns what is known of a service's generations. The caller holds the lock.
+func (r *Router) demand(service string) *place.Demand {
+	d := r.demands[service]
+	if d == nil {
+		d = &place.Demand{}
+		r.demands[service] = d
+	}
+	return d
+}
+
 // Retries implements usage.Loads.
 func (r *Router) Retries() []retry.Total {
 	r.mu.Lock()
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/place"
 )
 
@@ -43,11 +42,11 @@
 // stream serves a request whose answer is an event stream.
 func (q *request) stream() {
 	last := ""
-	direct := false
+	again := false
 	var kept Forwarding
 	defer func() { q.free(kept) }()
 	for refusals, unreached := 0, 0; ; {
-		s, refused := q.open(last, direct, &kept)
+		s, refused := q.open(last, again, &kept)
 		if refused != nil {
 			q.refuse(refused)
 			return
@@ -71,7 +70,7 @@
 				return
 			} else if whole && last == "" {
 				s.release()
-				direct = true
+				again = true
 				q.exclude(s.upstream)
 				continue
 			}
@@ -88,7 +87,7 @@
 			}
 		}
 		// A prompt that no engine has received is still read on a prefill engine.
-		direct = direct || s.written
+		again = again || s.written
 		if refusals > maxRefused || unreached > maxUnreached || !q.maySendAgain() {
 			q.refuse(q.unavailable(place.ErrBusy))
 			return
@@ -116,28 +115,23 @@
 
 // open places the request on a decode engine and sends it there, after a prefill engine has read its prompt where that is
 // better. The decode engine comes first, so that no prompt is read for which there is no room.
-func (q *request) open(last string, direct bool, kept *Forwarding) (*send, *refusal) {
+func (q *request) open(last string, again bool, kept *Forwarding) (*send, *refusal) {
 	f := Forwarding{LastEvent: last}
-	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * roomShare))
-	u, err := q.router.pick(q.ctx, q.need, until)
-	if err != nil {
-		return nil, q.unavailable(err)
+	u, failed, refused := q.room(&f)
+	if failed != nil || refused != nil {
+		return failed, refused
 	}
 	forecast := q.router.forecast(u, q.need, q.call.PromptTokens)
 	target := q.route.Target
-	if kept.Handle != "" && time.Since(q.log.prefilled) < q.handleLifetime() {
+	switch {
+	case kept.Handle != "" && time.Since(q.readAt) < q.handleLifetime():
 		// The engine before was not reached or did not run the request: the result of the prefill may still be there.
 		f.Source, f.Handle = kept.Source, kept.Handle
 		forecast.HasSplit = true
-	} else if !direct && q.need.Role == place.RoleDecode && forecast.Separate(target) {
-		// A prompt is only read once the engine that goes on with it is known to be there.
-		if err := q.router.config.Pool.Ensure(q.ctx, u.Address, q.router.connections(q.document.Services[u.Service])); err != nil {
-			s := &send{upstream: u, need: q.need, began: time.Now(), err: err, outcome: place.Unreachable}
-			if q.ctx.Err() != nil || errors.Is(err, conn.ErrLimit) {
-				s.outcome = place.Cancelled
-			}
-			return s, nil
-		}
+	case q.reader != "":
+		// The prefill engine may still have what it read, though not under the handle.
+		f.Fetch = q.reader
+	case !again && forecast.Separate(target), again && forecast.HasSplit:
 		f.Source, f.Handle = q.prefill(forecast)
 		forecast.HasSplit = f.Handle != ""
 	}
@@ -149,10 +143,36 @@
 	*kept = Forwarding{}
 	if !s.written || s.outcome == place.Refused {
 		*kept = f
+		q.giveBack(u.Address, f.Reservation)
 	}
 	return s, nil
 }
 
+// room picks a decode engine that has room for the request and keeps it. An engine that could not be asked is returned as
+// a failed send.
+func (q *request) room(f *Forwarding) (u place.Upstream, failed *send, refused *refusal) {
+	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * roomShare))
+	for tried := 1; ; tried++ {
+		u, err := q.router.pick(q.ctx, q.need, until)
+		if err != nil {
+			return u, nil, q.unavailable(err)
+		}
+		s := &send{upstream: u, need: q.need, began: time.Now()}
+		f.Reservation, s.outcome, s.err = q.reserve(u)
+		switch {
+		case s.outcome == place.Served:
+			return u, nil, nil
+		case s.outcome == place.Full && tried < maxReserves:
+			q.count(s)
+		case s.outcome == place.Full:
+			q.count(s)
+			return u, nil, q.unavailable(place.ErrBusy)
+		default:
+			return u, s, nil
+		}
+	}
+}
+
 func (r *Router) forecast(u place.Upstream, need place.Need, prompt int) place.Forecast {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -216,7 +236,7 @@
 		}
 		return s
 	}
-	q.log.prefilled = time.Now()
+	q.reader, q.readAt = s.upstream.Address, time.Now()
 	q.router.observeRead(q.call.PromptTokens, time.Since(s.began))
 	return s
 }
@@ -304,7 +324,7 @@
 
 // grow counts the events that were passed on, and the room that a longer answer than expected takes.
 func (q *request) grow(s *send, events []byte) {
-	q.log.events += bytes.Count(events, []byte("\n\n"))
+	q.log.passed(time.Now(), bytes.Count(events, []byte("\n\n")))
 	service := q.document.Services[q.service]
 	if service.Engine == nil {
 		return
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -20,10 +20,11 @@
 type trace struct {
 	firstEvent time.Duration
 	events     int
-	// prefilled is when a prefill engine had read the prompt.
-	prefilled time.Time
-	reason    string
-	sends     []string
+	// longestGap is the longest pause between events that were passed on, lastEventAt when the last one was.
+	longestGap  time.Duration
+	lastEventAt time.Time
+	reason      string
+	sends       []string
 	// charge is set when the customer's limit refused the request.
 	charge int64
 }
@@ -46,6 +47,14 @@
 	t.sends = append(t.sends, b.String())
 }
 
+// passed notes events that were passed on.
+func (t *trace) passed(now time.Time, events int) {
+	if t.events > 0 {
+		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
+	}
+	t.events, t.lastEventAt = t.events+events, now
+}
+
 // finish logs and measures the request.
 func (q *request) finish() {
 	if q.cancel != nil {
@@ -83,7 +92,7 @@
 			e.Uint64("documentVersion", q.document.Version)
 		}
 		if q.route != nil && q.route.Stream {
-			e.Int("events", q.log.events).Int64("firstEventMs", q.log.firstEvent.Milliseconds()).Str("lastEvent", q.call.LastEvent)
+			e.Int("events", q.log.events).Int64("firstEventMs", q.log.firstEvent.Milliseconds()).Int64("longestGapMs", q.log.longestGap.Milliseconds()).Str("lastEvent", q.call.LastEvent)
 		}
 		if q.need.Work > 1 {
 			e.Int("promptTokens", q.call.PromptTokens).Int("maxTokens", q.call.MaxTokens)
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -52,6 +52,30 @@
 	if f.LastEvent != "" {
 		h.Set("After", f.LastEvent)
 	}
+	if f.Fetch != "" {
+		h.Set("Fetch", f.Fetch)
+	}
+	if f.Reservation != "" {
+		h.Set("Reservation", f.Reservation)
+	}
+}
+
+func (plainCodec) Reserve(r *fasthttp.Request, tokens int, lifetime time.Duration) {
+	r.Header.SetMethod("POST")
+	r.Header.SetRequestURI("/reserve")
+	r.SetBodyString(fmt.Sprint(tokens, " ", lifetime))
+}
+
+func (plainCodec) ReadReservation(body []byte) (string, error) {
+	if len(body) == 0 {
+		return "", errors.New("no reservation")
+	}
+	return string(body), nil
+}
+
+func (plainCodec) Release(r *fasthttp.Request, id string) {
+	r.Header.SetMethod("DELETE")
+	r.Header.SetRequestURI("/reserve/" + id)
 }
 
 func (plainCodec) ReadMarks(h *fasthttp.ResponseHeader) Marks {
@@ -518,6 +542,81 @@
 	_ = group.Wait()
 }
 
+// TestReserveFirst guards against prompts that are read for an engine without room, against reserved room that is not used
+// for its request, and against room that stays reserved for a request that goes elsewhere.
+func TestReserveFirst(t *testing.T) {
+	prefill := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nh1", r.Header.Peek("Id"))
+		return err == nil
+	})
+	released := make(chan string, 1)
+	engine := func(room, run int) *upstream {
+		return startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+			switch path := string(r.RequestURI()); {
+			case path == "/reserve":
+				return answer(c, r, room, "", "room1")
+			case string(r.Header.Method()) == "DELETE":
+				released <- path
+				return answer(c, r, 200, "", "")
+			case run != 200:
+				return answer(c, r, run, "NotRun: 1\r\n", "")
+			}
+			return events(c, r, 1, 2, true)
+		})
+	}
+	full, refusing, sound := engine(503, 200), engine(200, 503), engine(200, 200)
+	b := newBed(t, nil, []*upstream{prefill}, []*upstream{full, refusing, sound})
+	b.control.view.Document.Services["e"].Engine.Reservation = time.Second
+	// Other entries have streams on all engines, most of them on the last one, so that it is chosen last.
+	b.router.Observe(7, []place.Load{
+		{ID: "edecode0", Incarnation: 1, Work: 100, Requests: 1}, {ID: "edecode1", Incarnation: 1, Work: 1000, Requests: 1},
+		{ID: "edecode2", Incarnation: 1, Work: 5000, Requests: 2},
+	})
+	got := b.send(t, "POST", "/once/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.body != wantEvents(2) {
+		t.Fatalf("got %d, %q, want the stream of the engine that has room", got.status, got.body)
+	}
+	if n := len(full.requests()); n != 1 {
+		t.Errorf("got %d requests at the engine without room, want the question alone", n)
+	}
+	if n := len(prefill.requests()); n != 1 {
+		t.Errorf("got %d prefills, want one", n)
+	}
+	run := sound.requests()
+	if len(run) != 2 || string(run[1].Header.Peek("Reservation")) != "room1" || string(run[1].Header.Peek("Source")) != prefill.address+"/h1" {
+		t.Errorf("got %d requests at the last engine, want the question, then the request with its room and the prefill's result", len(run))
+	}
+	select {
+	case path := <-released:
+		if path != "/reserve/room1" {
+			t.Errorf("got %q released, want the room at the engine that refused", path)
+		}
+	case <-time.After(time.Second):
+		t.Error("the room at the engine that refused was not given back")
+	}
+}
+
+// TestResumeFetchesPrompt guards against prompts that are read anew, between the tokens of other answers, when a stream goes
+// on at another engine.
+func TestResumeFetchesPrompt(t *testing.T) {
+	prefill := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Length: 2\r\n\r\nh1", r.Header.Peek("Id"))
+		return err == nil
+	})
+	breaking := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return events(c, r, 1, 2, false) })
+	sound := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool { return events(c, r, 3, 4, true) })
+	b := newBed(t, nil, []*upstream{prefill}, []*upstream{breaking, sound})
+	b.router.Observe(7, []place.Load{{ID: "edecode0", Incarnation: 1, Work: 100, Requests: 1}, {ID: "edecode1", Incarnation: 1, Work: 5000, Requests: 2}})
+	got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.body != wantEvents(4) {
+		t.Fatalf("got %d, %q, want the whole stream", got.status, got.body)
+	}
+	second := sound.requests()[0]
+	if fetch := string(second.Header.Peek("Fetch")); fetch != prefill.address || len(prefill.requests()) != 1 {
+		t.Errorf("got %q to fetch from and %d prefills, want the one engine that read the prompt", fetch, len(prefill.requests()))
+	}
+}
+
 // TestUnreachableDecodeEngine guards against prompts that are read for an engine that cannot be reached, or that burden
 // the streams of the next one although a prefill engine is there.
 func TestUnreachableDecodeEngine(t *testing.T) {
