Add a fault soak of real processes behind the platform's protocol

soak/ starts the platform's entry and control programs as processes, upstreams behind proxies, and callers that keep their connections. Seeded faults overlap: processes killed, stopped, paused, all killed at once, disks lost, upstreams cut, silenced, slowed, answered one way only, and replaced with and without notice. It checks that no booking runs twice, that refused requests have not run, that answers and streams are whole or visibly broken, that acknowledged documents are neither lost nor older when read, that withdrawn keys stop working, and that service comes back within 12 s.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -80,7 +80,7 @@
 	lock    net.Listener
 	// advertised maps listening addresses of control members to those that others use.
 	advertised map[string]string
-	runner     *runner
+	runner     *Runner
 	processes  map[string]*Process
 	// order lists the processes in the order of their start.
 	order []string
@@ -106,7 +106,7 @@
 	if err := f.lockNetwork(); err != nil {
 		return nil, err
 	}
-	f.runner = newRunner()
+	f.runner = NewRunner()
 	ready, cancel := context.WithTimeout(ctx, o.ReadyTimeout)
 	defer cancel()
 	if err := f.start(ready); err != nil {
@@ -336,7 +336,7 @@
 			standins = append(standins, name)
 		}
 	}
-	err := errors.Join(f.stopAll(entries), f.stopAll(standins), f.stopAll(controls), f.runner.close())
+	err := errors.Join(f.stopAll(entries), f.stopAll(standins), f.stopAll(controls), f.runner.Close())
 	return errors.Join(err, f.lock.Close())
 }
 
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -25,7 +25,7 @@
 	// LogFile holds the standard output and error of all its runs.
 	LogFile string
 
-	runner *runner
+	runner *Runner
 	path   string
 	args   []string
 
@@ -35,15 +35,16 @@
 	err  error
 }
 
-// runner starts processes from one thread that lives as long as the runner, because the kernel ends a
+// Runner starts processes from one thread that lives as long as the runner, because the kernel ends a
 // process with a parent-death signal when the thread that started it ends.
-type runner struct {
+type Runner struct {
 	requests chan func()
 	group    errgroup.Group
 }
 
-func newRunner() *runner {
-	r := &runner{requests: make(chan func())}
+// NewRunner returns a runner without processes. Close must follow.
+func NewRunner() *Runner {
+	r := &Runner{requests: make(chan func())}
 	r.group.Go(func() error {
 		runtime.LockOSThread()
 		for request := range r.requests {
@@ -54,15 +55,15 @@
 	return r
 }
 
-// close ends the thread; all processes must have ended.
-func (r *runner) close() error {
+// Close ends the thread; all processes must have ended.
+func (r *Runner) Close() error {
 	close(r.requests)
 	return r.group.Wait()
 }
 
-// start starts a program in its own process group, so that an interrupt of the terminal reaches only the
+// Start starts a program in its own process group, so that an interrupt of the terminal reaches only the
 // driver, which then ends the program itself.
-func (r *runner) start(name, logFile, path string, args ...string) (*Process, error) {
+func (r *Runner) Start(name, logFile, path string, args ...string) (*Process, error) {
 	p := &Process{Name: name, LogFile: logFile, runner: r, path: path, args: args}
 	return p, p.Start()
 }
@@ -189,7 +190,7 @@
 
 // launch starts a program of the fleet and records it under its name.
 func (f *Fleet) launch(name, program string, args ...string) error {
-	p, err := f.runner.start(name, f.logFile(name), f.program(program), args...)
+	p, err := f.runner.Start(name, f.logFile(name), f.program(program), args...)
 	if err != nil {
 		return err
 	}
--- a/itest/double_test.go
+++ b/itest/double_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"azuredoor.example/bench/load"
+
+	"azuredoor.example/bench/proxy"
 )
 
 // TestDoubleFaults guards against cut answers at live entries, engine memory that stays held and bookings that run
@@ -30,10 +32,10 @@
 			return b.Process(b.engines("prefill")[0]).Signal(syscall.SIGCONT)
 		}},
 		{"entry isolated from control and engines killed", 3, func(b *bed, n *network) error {
-			n.isolate(b, 3, silent)
+			n.isolate(b, 3, proxy.Silent)
 			return firstError(b.Process(b.engines("decode")[1]).Kill(), b.Process(b.services()[0]).Kill())
 		}, func(b *bed, n *network) error {
-			n.isolate(b, 3, pass)
+			n.isolate(b, 3, proxy.Pass)
 			return b.Process(b.services()[0]).Start()
 		}},
 		{"entry frozen and control leader killed", 0, func(b *bed, _ *network) error {
--- a/itest/partition_test.go
+++ b/itest/partition_test.go
@@ -11,12 +11,13 @@
 
 	"azuredoor.example/bench/fleet"
 	"azuredoor.example/bench/load"
+	"azuredoor.example/bench/proxy"
 )
 
 // network holds the proxies in front of the control members.
 type network struct {
 	mu      sync.Mutex
-	proxies map[string]*proxy
+	proxies map[string]*proxy.Proxy
 }
 
 // startProxied starts a fleet whose control members are reached through fault proxies.
@@ -27,7 +28,7 @@
 
 func startProxiedWith(t *testing.T, standinArgs ...string) (*bed, *network) {
 	t.Helper()
-	n := &network{proxies: map[string]*proxy{}}
+	n := &network{proxies: map[string]*proxy.Proxy{}}
 	b := startWith(t, func(o *fleet.Options) {
 		o.StandinArgs = standinArgs
 		o.Advertise = func(listen string) (string, error) {
@@ -40,7 +41,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.proxies[listen] = p
-			return p.address(), nil
+			return p.Address(), nil
 		}
 	})
 	return b, n
@@ -48,7 +49,7 @@
 
 // isolate cuts the VM with host number 11+i off from the control members of other VMs, in both directions; pass
 // heals the cut.
-func (n *network) isolate(b *bed, i int, f fault) {
+func (n *network) isolate(b *bed, i int, f proxy.Fault) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	host := strings.TrimSuffix(b.Address(11+i, 1), ":1")
@@ -56,12 +57,12 @@
 		if strings.HasPrefix(listen, host+":") {
 			for other := range 4 {
 				if other != i {
-					p.set(strings.TrimSuffix(b.Address(11+other, 1), ":1"), f)
+					p.Set(strings.TrimSuffix(b.Address(11+other, 1), ":1"), f)
 				}
 			}
 			continue
 		}
-		p.set(host, f)
+		p.Set(host, f)
 	}
 }
 
@@ -74,7 +75,7 @@
 			t.Parallel()
 			b, n := startProxied(t)
 			other := (member + 1) % 3
-			n.isolate(b, member, silent)
+			n.isolate(b, member, proxy.Silent)
 			b.await(bound, "the others accept a change", func() bool { return b.putCustomer(other, "c0", 1, "isolated-0") })
 			for i := range 300 {
 				if !b.putCustomer(other, fmt.Sprintf("c%d", i%50), i%900+1, fmt.Sprintf("isolated-%d", i+1)) {
@@ -94,7 +95,7 @@
 					b.wantWhole(b.begin(b.stream(entry, b.deployment.Customers[i%5], fmt.Sprint("cut", i), 8)).wait())
 				}
 			}
-			n.isolate(b, member, pass)
+			n.isolate(b, member, proxy.Pass)
 			healed := time.Now()
 			b.await(10*time.Second, "the member has caught up", func() bool {
 				got := b.weights(member)
@@ -129,7 +130,7 @@
 	customer := b.deployment.Small
 	call := b.stream(entry, customer, "isolated", 8)
 	b.wantWhole(b.begin(call).wait())
-	n.isolate(b, entry, silent)
+	n.isolate(b, entry, proxy.Silent)
 	began := time.Now()
 	if _, err := b.Ctl(b.ctx, "key", "withdraw", b.keyOf(customer)); err != nil {
 		t.Fatal(err)
@@ -163,7 +164,7 @@
 	t.Logf("first refusal of a call sent %v after the cut", first.Round(time.Millisecond))
 	open := load.Call{Kind: load.LookUp, URL: b.EntryURL(entry), Path: b.deployment.Open + "/today", Timeout: 5 * time.Second}
 	b.wantWhole(b.begin(open).wait())
-	n.isolate(b, entry, pass)
+	n.isolate(b, entry, proxy.Pass)
 	b.await(10*time.Second, "the entry is ready again", func() bool { return b.Ready(b.ctx, entry) == nil })
 	if r := b.begin(call).wait()[0]; r.Status != http.StatusUnauthorized {
 		t.Errorf("after the cut the withdrawn key got status %d, want 401", r.Status)
@@ -179,7 +180,7 @@
 		n.mu.Lock()
 		silenced := 0
 		for _, p := range n.proxies {
-			silenced += p.silenceOpen()
+			silenced += p.SilenceOpen()
 		}
 		n.mu.Unlock()
 		if silenced == 0 {
--- a/itest/silent_test.go
+++ b/itest/silent_test.go
@@ -9,12 +9,13 @@
 
 	"azuredoor.example/bench/fleet"
 	"azuredoor.example/bench/load"
+	"azuredoor.example/bench/proxy"
 )
 
 // startUpstreamsProxied starts a fleet whose upstreams are reached through fault proxies.
-func startUpstreamsProxied(t *testing.T, standinArgs ...string) (*bed, map[string]*proxy) {
+func startUpstreamsProxied(t *testing.T, standinArgs ...string) (*bed, map[string]*proxy.Proxy) {
 	t.Helper()
-	proxies := map[string]*proxy{}
+	proxies := map[string]*proxy.Proxy{}
 	b := startWith(t, func(o *fleet.Options) {
 		o.StandinArgs = standinArgs
 		o.AdvertiseUpstream = func(listen string) (string, error) {
@@ -24,14 +25,14 @@
 			}
 			p := startProxy(t, "127.1"+strings.TrimPrefix(host, "127.0")+":0", listen)
 			proxies[listen] = p
-			return p.address(), nil
+			return p.Address(), nil
 		}
 	})
 	return b, proxies
 }
 
 // upstreamProxy returns the proxy in front of an upstream.
-func (b *bed) upstreamProxy(proxies map[string]*proxy, id string) *proxy {
+func (b *bed) upstreamProxy(proxies map[string]*proxy.Proxy, id string) *proxy.Proxy {
 	return proxies[strings.TrimPrefix(b.StandinURL(id), "http://")]
 }
 
@@ -48,7 +49,7 @@
 			time.Sleep(800 * time.Millisecond)
 			silenced := 0
 			for _, id := range b.engines(role) {
-				silenced += b.upstreamProxy(proxies, id).silenceOpen()
+				silenced += b.upstreamProxy(proxies, id).SilenceOpen()
 			}
 			if silenced == 0 {
 				t.Error("no connection was open")
@@ -72,7 +73,7 @@
 	under := b.book(keys)
 	time.Sleep(10 * time.Millisecond)
 	for _, id := range b.services() {
-		b.upstreamProxy(proxies, id).silenceOpen()
+		b.upstreamProxy(proxies, id).SilenceOpen()
 	}
 	results := collect(under)
 	for key, list := range collect(b.book(keys)) {
@@ -87,20 +88,20 @@
 func TestSilentCallerConnections(t *testing.T) {
 	t.Parallel()
 	b := start(t, "-token-gap=10ms")
-	proxies := make([]*proxy, b.Entries())
+	proxies := make([]*proxy.Proxy, b.Entries())
 	var silentCalls []load.Call
 	for i := range proxies {
 		proxies[i] = startProxy(t, "127.0.0.1:0", strings.TrimPrefix(b.EntryURL(i), "http://"))
 		for n := range 4 {
 			call := b.stream(i, b.deployment.Customers[n], fmt.Sprintf("silent-%d-%d", i, n), 190)
-			call.URL, call.Timeout = "http://"+proxies[i].address(), 6*time.Second
+			call.URL, call.Timeout = "http://"+proxies[i].Address(), 6*time.Second
 			silentCalls = append(silentCalls, call)
 		}
 	}
 	silent := b.begin(silentCalls...)
 	time.Sleep(700 * time.Millisecond)
 	for _, p := range proxies {
-		if got := p.silenceOpen(); got != 4 {
+		if got := p.SilenceOpen(); got != 4 {
 			t.Errorf("got %d open connections, want 4", got)
 		}
 	}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,7 +9,7 @@
   echo "not formatted by gofmt:" "$unformatted"
   exit 1
 fi
-for module in core entry control ctl standin bench itest platform; do
+for module in core entry control ctl standin bench itest platform soak; do
   [ -n "$(find "$module" -name '*.go' -print -quit)" ] || continue
   echo "lint $module"
   (cd "$module" && "$linter" run --allow-parallel-runners --config "$root/.golangci.yml" ./...)
