Elect a leader sooner in a group that has known none since its start

Cause: after a loss of power of the whole group, its members waited 600 to 1,200 ms before the first pre-vote, and connections to VMs that were still down were given up after 1 s.

A member that has known no leader since its start now uses a third of the election timeout at least. A leader that is there refuses the pre-vote, and a restarted member never remembered hearing one. A try to connect ends after 400 ms.

Ruled out: the watch streams, which had the document 40 ms after the election.

TestStartElectsSoon fails without the change: 12 ticks, want 9.

--- a/core/consensus/directed_test.go
+++ b/core/consensus/directed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -436,3 +438,26 @@
 		t.Errorf("got role %d and commit %d of %d on the target", g.nodes[3].role, g.nodes[3].commit, g.nodes[3].log.last())
 	}
 }
+
+// TestStartElectsSoon guards against a group that waits for a whole election timeout after all members lost power, and
+// against a member that takes the short timeout again once it knew a leader.
+func TestStartElectsSoon(t *testing.T) {
+	g := &group{nodes: map[uint64]*Node{}}
+	for id := range uint64(5) {
+		g.nodes[id+1] = newNode(t, id+1, 5, 3, 2, 1, 3)
+	}
+	ticks := 0
+	for ; ticks < 100 && !slices.ContainsFunc(slices.Collect(maps.Values(g.nodes)), func(n *Node) bool { return n.role == Leader }); ticks++ {
+		g.tick(1)
+	}
+	if want := g.nodes[1].config.ElectionTicks; ticks >= want {
+		t.Errorf("got a leader after %d ticks, want one before the shortest election timeout of %d", ticks, want)
+	}
+	g.tick(2)
+	for id, n := range g.nodes {
+		n.resetElection()
+		if n.electionTimeout < n.config.ElectionTicks {
+			t.Errorf("member %d: got an election timeout of %d ticks once a leader is known, want %d at least", id, n.electionTimeout, n.config.ElectionTicks)
+		}
+	}
+}
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -11,8 +11,17 @@
 // a request although they hear the leader.
 const orderedByLeader = 1
 
+// startShare is one part of the shortest election timeout. Until a member has known a leader since its start it waits that
+// part at least: after a loss of power of the whole group nobody leads, and a leader that is there refuses the pre-vote.
+const startShare = 3
+
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
+	if !n.knewLeader {
+		shortest := max(n.config.HeartbeatTicks+1, n.config.ElectionTicks/startShare)
+		n.electionTimeout = shortest + n.random.IntN(n.config.ElectionTicks-shortest+1)
+		return
+	}
 	n.electionTimeout = n.config.ElectionTicks + n.random.IntN(n.config.ElectionTicks+1)
 }
 
@@ -49,6 +58,7 @@
 		n.progress = nil
 	}
 	n.role, n.leader = Follower, leader
+	n.knewLeader = n.knewLeader || leader != 0
 	n.votes = nil
 	n.resetElection()
 }
@@ -105,7 +115,7 @@
 }
 
 func (n *Node) becomeLeader() {
-	n.role, n.leader = Leader, n.config.ID
+	n.role, n.leader, n.knewLeader = Leader, n.config.ID, true
 	n.votes = nil
 	n.heartbeatTicks = 0
 	n.reads = reads{}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -31,6 +31,8 @@
 	now             uint64 // ticks since the start
 	electionElapsed int
 	electionTimeout int
+	// knewLeader is set once a leader was known since the start.
+	knewLeader bool
 	heartbeatTicks  int
 
 	output output
--- a/core/fleetrpc/fleetrpc.go
+++ b/core/fleetrpc/fleetrpc.go
@@ -29,6 +29,10 @@
 	pingInterval = 2 * time.Second
 	pingTimeout  = time.Second
 
+	// connectTimeout bounds one try to connect, many times the round trip between regions. A VM that was down answers the
+	// next try, while the kernel repeats a lost one after a second only.
+	connectTimeout = 400 * time.Millisecond
+
 	reconnectFirst   = 50 * time.Millisecond
 	reconnectLongest = time.Second
 )
@@ -81,7 +85,7 @@
 // host:port. grpc-go raises the ping interval of clients to 10 s, so callers set a deadline on each call and
 // replace a connection whose calls time out.
 func (d Dialer) Dial(address string) (*grpc.ClientConn, error) {
-	dialer := &net.Dialer{}
+	dialer := &net.Dialer{Timeout: connectTimeout}
 	if d.Source != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.Source)}
 	}
