Let broken streams wait for room on another engine

Cause: a stream that broke asked for another engine until 0.4 of the target after its arrival, which had passed long ago, so that it was cut as soon as all engines were busy. A waiting request also slept until something else changed after an engine had told that it has no room.

Ruled out: the retry budget (its use is now told apart in the log, as are the route's attempts and requests that must not run again).

A broken stream now waits up to twice the target, and engines without room are asked again after 100 ms. TestResumeWaitsForRoom fails without either.

--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -109,9 +109,9 @@
 	// before fewer upstreams sees most of the load itself.
 	sampleAbove = 10
 	sampleSize  = 3
-	// fullFor is how long an upstream without room is left out. An engine with ten answers of some seconds under way has
+	// FullFor is how long an upstream without room is left out. An engine with ten answers of some seconds under way has
 	// room for another one a few times in a second.
-	fullFor = 100 * time.Millisecond
+	FullFor = 100 * time.Millisecond
 	// unheardPenalty makes an upstream whose announcements stopped a last choice.
 	unheardPenalty = 50
 )
@@ -343,7 +343,7 @@
 	}
 	grade := map[Outcome]float64{Erred: 0.5, Refused: 0.7, Broken: 1, Unreachable: 1, Replaced: 1}
 	if outcome == Full {
-		s.fullUntil = now.Add(fullFor)
+		s.fullUntil = now.Add(FullFor)
 	}
 	if outcome == Cancelled || outcome == Full {
 		return 0
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -41,6 +41,8 @@
 	// reader is the address of the prefill engine that read the prompt, at readAt; empty for none.
 	reader string
 	readAt time.Time
+	// noBudget is set when the retry budget refused another send.
+	noBudget bool
 	// ran is set when an upstream may have begun to work on the request.
 	ran bool
 	log trace
@@ -203,7 +205,21 @@
 	if q.ctx.Err() != nil || q.runs >= q.route.Attempts || q.ran && !q.idempotent() {
 		return false
 	}
-	return q.sends == 0 || q.router.allowRepeat(q.service)
+	q.noBudget = q.sends > 0 && !q.router.allowRepeat(q.service)
+	return !q.noBudget
+}
+
+// endsHere says why no other upstream takes over a request that has run.
+func (q *request) endsHere() string {
+	switch {
+	case !q.idempotent():
+		return "an upstream failed, and the request must not run again"
+	case q.runs >= q.route.Attempts:
+		return "an upstream failed, and the route allows no further one"
+	case q.noBudget:
+		return "an upstream failed, and the retry budget is used up"
+	}
+	return "an upstream failed, and no other could take over"
 }
 
 // unavailable is the refusal of a request that found no upstream.
@@ -212,7 +228,7 @@
 	case q.ctx.Err() != nil:
 		return q.timedOut()
 	case q.ran:
-		return &refusal{fasthttp.StatusBadGateway, "an upstream failed, and no other could take over", 0}
+		return &refusal{fasthttp.StatusBadGateway, q.endsHere(), 0}
 	case errors.Is(err, place.ErrNone):
 		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", startRetry}
 	default:
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -21,6 +21,8 @@
 	reservedOutput = 0.6
 	// maxReserves bounds the engines that one request asks for room.
 	maxReserves = 6
+	// maxGoOnReserves is the same for a stream that goes on at another engine.
+	maxGoOnReserves = 30
 )
 
 // reserve asks an engine to keep room for the request, so that no prompt is read for an engine that has none, and no
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -220,7 +220,8 @@
 		if !errors.Is(err, place.ErrBusy) || left <= 0 {
 			return u, err
 		}
-		timer := time.NewTimer(left)
+		// An upstream that had no room is asked again without any other change.
+		timer := time.NewTimer(min(left, place.FullFor))
 		select {
 		case <-freed:
 		case <-timer.C:
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -22,6 +22,9 @@
 	firstEventSlack = 900 * time.Millisecond
 	// roomShare is the part of the target that a generation may wait for room on an engine.
 	roomShare = 0.4
+	// goOnShare times the target is how long a stream that broke waits for room on another engine. Callers leave after a
+	// pause of four times the target.
+	goOnShare = 2
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 	// handleMargin is kept from the end of a handle's life: the request must arrive before.
@@ -151,7 +154,11 @@
 // room picks a decode engine that has room for the request and keeps it. An engine that could not be asked is returned as
 // a failed send.
 func (q *request) room(f *Forwarding) (u place.Upstream, failed *send, refused *refusal) {
-	until := q.x.Arrived.Add(time.Duration(float64(q.route.Target) * roomShare))
+	until, most := q.x.Arrived.Add(time.Duration(float64(q.route.Target)*roomShare)), maxReserves
+	if q.ran {
+		// The caller has part of the answer: that is lost unless an engine takes over before it leaves.
+		until, most = time.Now().Add(goOnShare*q.route.Target), maxGoOnReserves
+	}
 	for tried := 1; ; tried++ {
 		u, err := q.router.pick(q.ctx, q.need, until)
 		if err != nil {
@@ -162,7 +169,7 @@
 		switch {
 		case s.outcome == place.Served:
 			return u, nil, nil
-		case s.outcome == place.Full && tried < maxReserves:
+		case s.outcome == place.Full && tried < most:
 			q.count(s)
 		case s.outcome == place.Full:
 			q.count(s)
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -617,6 +617,36 @@
 	}
 }
 
+// TestResumeWaitsForRoom guards against streams that are cut midway because no engine has room at the moment at which their
+// own one fails.
+func TestResumeWaitsForRoom(t *testing.T) {
+	breaking := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		if string(r.RequestURI()) == "/reserve" {
+			return answer(c, r, 200, "", "room")
+		}
+		return events(c, r, 1, 2, false)
+	})
+	asked := make(chan struct{}, 100)
+	full := time.Now().Add(350 * time.Millisecond)
+	busy := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		if string(r.RequestURI()) != "/reserve" {
+			return events(c, r, 3, 4, true)
+		}
+		asked <- struct{}{}
+		if time.Now().Before(full) {
+			return answer(c, r, 503, "", "")
+		}
+		return answer(c, r, 200, "", "room")
+	})
+	b := newBed(t, nil, nil, []*upstream{breaking, busy})
+	b.control.view.Document.Services["e"].Engine.Reservation = time.Second
+	b.router.Observe(7, []place.Load{{ID: "edecode1", Incarnation: 1, Work: 5000, Requests: 2}})
+	got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.body != wantEvents(4) {
+		t.Errorf("got %d, %q after %d tries for room, want the whole stream", got.status, got.body, len(asked))
+	}
+}
+
 // TestUnreachableDecodeEngine guards against prompts that are read for an engine that cannot be reached, or that burden
 // the streams of the next one although a prefill engine is there.
 func TestUnreachableDecodeEngine(t *testing.T) {
