--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -32,8 +32,8 @@
 	electionElapsed int
 	electionTimeout int
 	// knewLeader is set once a leader was known since the start.
-	knewLeader bool
-	heartbeatTicks  int
+	knewLeader     bool
+	heartbeatTicks int
 
 	output output
 }
