Spread generations over a few engines in fleets of many entries

Cause: an engine that has just started has no load, and all entries chose it until they heard of each other, 230 ms later; each also had its prompt read there, because nothing else seemed to run.

With more than eight entries a choice now looks at three engines also when there are ten or fewer, and an engine that looks idle does not read prompts itself while a prefill engine can. TestFreshEngine fails without the change (29 of 29 requests on the fresh engine).

Ruled out: missing prefill engines (others were used in the same moments).

--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -105,6 +105,9 @@
 	refusedInARow = 2
 	// suspectFor is how long an ejection by another entry counts: a few reports of it in a large fleet.
 	suspectFor = time.Second
+	// manyEntries is the number of entries above which an upstream that looks idle probably is not: what the others placed
+	// there since their last report adds up.
+	manyEntries = 8
 	// sampleAbove is the number of candidates above which a choice looks at sampleSize of them only: a handful of entries
 	// before fewer upstreams sees most of the load itself.
 	sampleAbove = 10
@@ -211,6 +214,8 @@
 	// turn breaks ties in turn.
 	turn   int
 	random *rand.Rand
+	// entries is the number of entries that place requests on the same upstreams, this one included.
+	entries int
 	// speed is the observed reading speed of prefill engines, in tokens per millisecond.
 	speed float64
 }
@@ -220,8 +225,9 @@
 	return &Table{states: map[string]*state{}, turn: turn, random: rand.New(rand.NewPCG(uint64(turn), 0)), speed: firstSpeed}
 }
 
-// Set replaces the upstreams. What is known of an incarnation is kept.
-func (t *Table) Set(upstreams []Upstream) {
+// Set replaces the upstreams and the number of entries that share them. What is known of an incarnation is kept.
+func (t *Table) Set(upstreams []Upstream, entries int) {
+	t.entries = entries
 	next := map[string]*state{}
 	t.order = t.order[:0]
 	for _, u := range upstreams {
@@ -306,10 +312,11 @@
 	return best, nil
 }
 
-// sample returns a few candidates of many. Entries know each other's load with a delay, so that in a large pool all of them
-// would choose the same upstream until they learn of each other (Mitzenmacher, "How Useful Is Old Information?", 2000).
+// sample returns a few candidates of many. Entries know each other's load with a delay, so that in a large pool, or with many
+// entries, all of them would choose the same upstream until they learn of each other (Mitzenmacher, "How Useful Is Old
+// Information?", 2000), as one that has just started.
 func (t *Table) sample(candidates []*state) []*state {
-	if len(candidates) <= sampleAbove {
+	if len(candidates) <= sampleSize || len(candidates) <= sampleAbove && t.entries <= manyEntries {
 		return candidates
 	}
 	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -54,7 +54,7 @@
 		"larger than all": {[]Upstream{service("a", "near", 10)}, nil, Need{Service: "s", Work: 50}, "a", nil},
 	} {
 		table := NewTable(0)
-		table.Set(test.upstreams)
+		table.Set(test.upstreams, 1)
 		if test.prepare != nil {
 			test.prepare(table)
 		}
@@ -84,7 +84,7 @@
 		"callers that left":      {[]Outcome{Cancelled, Cancelled, Cancelled}, false},
 	} {
 		table := NewTable(0)
-		table.Set([]Upstream{u})
+		table.Set([]Upstream{u}, 1)
 		got := false
 		for _, o := range test.outcomes {
 			got = table.End(epoch, u, need, o) > 0
@@ -94,7 +94,7 @@
 		}
 	}
 	table := NewTable(0)
-	table.Set([]Upstream{u})
+	table.Set([]Upstream{u}, 1)
 	now := epoch
 	var last time.Duration
 	for range 6 {
@@ -120,7 +120,7 @@
 func TestFailingUpstreamGetsLess(t *testing.T) {
 	table := NewTable(0)
 	upstreams := []Upstream{service("a", "d", 0), service("b", "d", 0), service("grey", "d", 0)}
-	table.Set(upstreams)
+	table.Set(upstreams, 1)
 	r := rand.New(rand.NewPCG(3, 4))
 	got := map[string]int{}
 	now := epoch
@@ -169,7 +169,7 @@
 	}
 	for i := range entries {
 		table := NewTable(i)
-		table.Set(upstreams)
+		table.Set(upstreams, 1)
 		tables = append(tables, table)
 	}
 	type run struct {
@@ -254,7 +254,7 @@
 	got := map[string]int{}
 	for entry := range 29 {
 		table := NewTable(entry)
-		table.Set(upstreams)
+		table.Set(upstreams, 29)
 		var loads []Load
 		for i, u := range upstreams {
 			loads = append(loads, Load{ID: u.ID, Incarnation: 1, Work: 5 + i%5, Requests: 5 + i%5})
@@ -273,6 +273,44 @@
 	}
 }
 
+// TestFreshEngine guards against many entries that all place their next generations on an engine that has just started, and
+// against prompts that are read there, between the tokens of what the others placed.
+func TestFreshEngine(t *testing.T) {
+	upstreams := []Upstream{{ID: "p", Service: "s", Role: RolePrefill, Accepts: true, Heard: true}}
+	for i := range 8 {
+		upstreams = append(upstreams, Upstream{ID: string(rune('a' + i)), Service: "s", Role: RoleDecode, Accepts: true, Heard: true})
+	}
+	need := Need{Service: "s", Role: RoleDecode, Work: 9000}
+	for _, test := range []struct {
+		entries, most int
+		alone         bool
+	}{{4, 4, true}, {29, 29 / 2, false}} {
+		fresh := 0
+		for entry := range test.entries {
+			table := NewTable(entry)
+			table.Set(upstreams, test.entries)
+			var loads []Load
+			for i := range 7 {
+				loads = append(loads, Load{ID: string(rune('a' + i)), Work: 50000, Requests: 6})
+			}
+			table.Observe(epoch, 99, loads)
+			u, err := table.Pick(epoch, need)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if u.ID == "h" {
+				fresh++
+				if got := table.Forecast(epoch, u, need, 5000); got.Alone != test.alone {
+					t.Errorf("%d entries: got alone %v, want %v", test.entries, got.Alone, test.alone)
+				}
+			}
+		}
+		if fresh > test.most || fresh == 0 {
+			t.Errorf("%d entries: got %d of their requests on the fresh engine, want 1 to %d", test.entries, fresh, test.most)
+		}
+	}
+}
+
 // TestSeparate guards against prompts that are read on decode engines and delay the streams there, against results that
 // are moved without need, and against prompts that wait behind a long line of others.
 func TestSeparate(t *testing.T) {
@@ -394,8 +432,8 @@
 		{ID: "gone", Service: "s", Accepts: true, Heard: true, Slots: 4, Incarnation: 1},
 		{ID: "sound", Service: "s", Accepts: true, Heard: true, Slots: 4, Incarnation: 1},
 	}
-	table.Set(upstreams)
-	other.Set(upstreams)
+	table.Set(upstreams, 1)
+	other.Set(upstreams, 1)
 	gone := upstreams[0]
 	if other.End(now, gone, need, Unreachable) == 0 {
 		t.Fatal("an unreachable upstream was not ejected")
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -33,7 +33,7 @@
 	Direct, Split time.Duration
 	// HasSplit is false when no prefill engine can take the request.
 	HasSplit bool
-	// Alone is set when nothing else runs on the decode engine.
+	// Alone is set when nothing else runs on the decode engine, as far as that can be known.
 	Alone bool
 }
 
@@ -43,7 +43,7 @@
 	f := Forecast{Direct: reading(prompt, t.speed*decodeShare), Alone: true}
 	if s := t.states[decode.ID]; s != nil {
 		_, requests := s.total()
-		f.Alone = requests <= 1
+		f.Alone = requests <= 1 && t.entries <= manyEntries
 	}
 	need.Role, need.Work, need.Exclude = RolePrefill, prompt, nil
 	if prefill, err := t.best(now, need); err == nil {
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -119,8 +119,8 @@
 	r.logChanges(view)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Set(upstreams)
 	r.entries = max(1, len(view.Sessions))
+	r.table.Set(upstreams, r.entries)
 	sessions := make(map[uint64]bool, len(view.Sessions))
 	for id := range view.Sessions {
 		sessions[id] = true
