Forget what ended sessions had running at upstreams

Cause: an entry asks each peer for its report at the address of the peer's session. An entry that was started again answers at the address of its former session, so that its load counted under both, and when the former session left the view, its last load stayed for good. Each restart made all upstreams look fuller to all others.

Ruled out: the upstreams themselves (their answers took 32 ms, as ever).

A report now counts only under the session that sent it, and only while that session is in the view; loads of other sessions are dropped with each view. TestRestartedPeer and TestEndedSessions fail without the change. The call that frees a prefill's result and the one that gives room back share their code.

--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -200,6 +200,17 @@
 	}
 }
 
+// Keep forgets what other entries had running, except for those whose sessions are given.
+func (t *Table) Keep(sessions map[uint64]bool) {
+	for _, s := range t.states {
+		for session := range s.others {
+			if !sessions[session] {
+				delete(s.others, session)
+			}
+		}
+	}
+}
+
 // Grow adds to the work of a request that turned out larger than expected.
 func (t *Table) Grow(u Upstream, work int) {
 	if s := t.states[u.ID]; s != nil && s.Incarnation == u.Incarnation {
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -463,3 +463,26 @@
 		t.Error("want the report of another entry to count for a while only")
 	}
 }
+
+// TestEndedSessions guards against upstreams that look full for good because of what entries had running there before they
+// were stopped or killed.
+func TestEndedSessions(t *testing.T) {
+	table := NewTable(0)
+	table.Set([]Upstream{service("a", "near", 18)}, 4)
+	need := Need{Service: "s", Work: 1}
+	for session := range uint64(9) {
+		table.Observe(epoch, session, []Load{{ID: "a", Incarnation: 1, Work: 2, Requests: 2}})
+	}
+	if _, err := table.Pick(epoch, need); !errors.Is(err, ErrBusy) {
+		t.Fatalf("got %v, want an upstream that is full by other entries", err)
+	}
+	table.Keep(map[uint64]bool{0: true})
+	for i := range 16 {
+		if _, err := table.Pick(epoch, need); err != nil {
+			t.Fatalf("request %d after the sessions ended: got %v, want room", i+1, err)
+		}
+	}
+	if _, err := table.Pick(epoch, need); !errors.Is(err, ErrBusy) {
+		t.Errorf("got %v, want the load of the session that goes on to count", err)
+	}
+}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -142,6 +143,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := fleetpb.NewPeerClient(conn).ExchangeUse(ctx, l.report())
+	if err == nil && report.SessionId != peer.Id {
+		err = errOtherSession
+	}
 	if err != nil {
 		// The meter assumes a use for a silent peer; a later exchange tells the real one.
 		l.drop(peer.Id, conn)
@@ -151,10 +155,16 @@
 	l.observe(peer.Id, report)
 }
 
-// ExchangeUse implements fleetpb.PeerServer.
+// errOtherSession means that another process than the one with the session has its address now: an entry that was started
+// again. Its report counts under its own session.
+var errOtherSession = errors.New("the address belongs to another session")
+
+// ExchangeUse implements fleetpb.PeerServer. A report of a session that has ended, or is not known yet, does not count.
 func (l *Limiter) ExchangeUse(_ context.Context, report *fleetpb.UseReport) (*fleetpb.UseReport, error) {
 	l.refresh()
-	l.observe(report.SessionId, report)
+	if l.control.View().Sessions[report.SessionId] != nil {
+		l.observe(report.SessionId, report)
+	}
 	return l.report(), nil
 }
 
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -118,3 +118,43 @@
 		})
 	}
 }
+
+// TestRestartedPeer guards against loads that count twice, and for good, because a peer that was started again answers at the
+// address of its former session, and against late reports of sessions that have ended.
+func TestRestartedPeer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	former := &fleetpb.Session{Id: 2, PeerAddress: ln.Addr().String()}
+	view := &control.View{Sessions: map[uint64]*fleetpb.Session{1: {Id: 1}, 2: former}}
+	newLoads := func() *fakeLoads {
+		return &fakeLoads{
+			loads: []place.Load{{ID: "u", Incarnation: 1, Work: 5, Requests: 5}}, seen: map[uint64][]place.Load{},
+			tried: map[uint64][]retry.Total{}, asked: map[uint64]map[string]place.DemandTotal{},
+		}
+	}
+	restarted := New(&fakeControl{view, 3}, fleetrpc.Dialer{Secret: "x"})
+	restarted.Share(newLoads())
+	server := fleetrpc.NewServer("x", event.Discard())
+	fleetpb.RegisterPeerServer(server, restarted)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(ln) })
+	t.Cleanup(func() {
+		server.Stop()
+		_ = group.Wait()
+	})
+	one, loads := New(&fakeControl{view, 1}, fleetrpc.Dialer{Secret: "x"}), newLoads()
+	one.Share(loads)
+	defer one.close()
+	one.exchange(t.Context(), former)
+	if got := loads.seen[2]; len(got) != 0 {
+		t.Errorf("got %v under the former session of a peer, want nothing", got)
+	}
+	if _, err := one.ExchangeUse(t.Context(), &fleetpb.UseReport{SessionId: 9, Upstreams: []*fleetpb.UpstreamUse{{Id: "u", Work: 5, Requests: 5}}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := loads.seen[9]; len(got) != 0 {
+		t.Errorf("got %v of a session that has ended, want nothing", got)
+	}
+}
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -86,20 +86,23 @@
 
 // giveBack frees room that was reserved and is not used.
 func (q *request) giveBack(address, id string) {
-	if id == "" {
-		return
+	if id != "" {
+		q.router.tell(address, event.RoomNotFreed, func(out *fasthttp.Request) { q.router.config.Codec.Release(out, id) })
 	}
-	r := q.router
+}
+
+// tell makes a call to an engine beside the request. What the call would free ends by itself if it fails.
+func (r *Router) tell(address string, failed event.ID, write func(out *fasthttp.Request)) {
 	r.config.Background.Go(func() error {
 		out, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(out)
 		defer fasthttp.ReleaseResponse(response)
-		r.config.Codec.Release(out, id)
+		write(out)
 		out.Header.SetHost(address)
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
 		if err := r.config.Pool.Do(ctx, conn.Call{Address: address, Request: out, Reuse: true}, response); err != nil {
-			r.config.Events.Write(event.RoomNotFreed, func(e *log.Entry) { e.Str("address", address).Err(err) })
+			r.config.Events.Write(failed, func(e *log.Entry) { e.Str("address", address).Err(err) })
 		}
 		return nil
 	})
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -125,6 +125,7 @@
 	for id := range view.Sessions {
 		sessions[id] = true
 	}
+	r.table.Keep(sessions)
 	for _, d := range r.demands {
 		d.Keep(sessions)
 	}
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"azuredoor.example/core/event"
 	"azuredoor.example/entry/place"
 )
 
@@ -33,7 +34,7 @@
 	maxPrefills = 2
 	// maxUnreached bounds the engines that a request finds gone: a failure domain may have a dozen of them.
 	maxUnreached = 12
-	// freeTimeout bounds the call that frees a prefill's result.
+	// freeTimeout bounds the call that frees a prefill's result or reserved room.
 	freeTimeout = 500 * time.Millisecond
 	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
 	prefillSlack = 250 * time.Millisecond
@@ -264,19 +265,9 @@
 
 // free drops a prefill's result that no engine took.
 func (q *request) free(f Forwarding) {
-	if f.Handle == "" {
-		return
+	if f.Handle != "" {
+		q.router.tell(f.Source, event.HandleNotFreed, func(out *fasthttp.Request) { q.router.config.Codec.FreeHandle(out, f.Handle) })
 	}
-	r := q.router
-	r.config.Background.Go(func() error {
-		out, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseRequest(out)
-		defer fasthttp.ReleaseResponse(response)
-		r.config.Codec.FreeHandle(out, f.Handle)
-		out.Header.SetHost(f.Source)
-		r.freeHandle(out, response, f.Source)
-		return nil
-	})
 }
 
 // relay passes the events of an upstream on to the caller. Last is the ID of the last event that was passed on. It
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -1,7 +1,6 @@
 package web
 
 import (
-	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +10,6 @@
 
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
-	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/place"
 )
@@ -129,15 +127,6 @@
 	})
 }
 
-// freeHandle calls the engine that keeps a prefill's result. A result that is not freed ends by itself.
-func (r *Router) freeHandle(out *fasthttp.Request, response *fasthttp.Response, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	if err := r.config.Pool.Do(ctx, conn.Call{Address: address, Request: out, Reuse: true}, response); err != nil {
-		r.config.Events.Write(event.HandleNotFreed, func(e *log.Entry) { e.Str("address", address).Err(err) })
-	}
-}
-
 // logChanges writes a line for each upstream that came, changed or left since the last view.
 func (r *Router) logChanges(view *control.View) {
 	before := map[string]*fleetpb.Upstream{}
