Wait longer before a prefill counts as lost

The slack on three times the expected time is now 0.5 s; a connection that cannot be made is noticed by itself.

--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -37,7 +37,7 @@
 	// freeTimeout bounds the call that frees a prefill's result or reserved room.
 	freeTimeout = 500 * time.Millisecond
 	// prefillSlack is added to three times the expected reading time before a prefill counts as lost.
-	prefillSlack = 250 * time.Millisecond
+	prefillSlack = 500 * time.Millisecond
 )
 
 // errCut means that a stream ended before its last event.
