Plan stages by what engines do at their best, and stop when demand changes

A prompt that an engine had read before seemed to be read in no time, so that its speed, which fades by 2% a prompt, made prefill engines look unneeded; the plan then went on to its goal of one prefill engine although the demand had changed. Decode engines read the other prompts between the tokens of the answers: 42 of 88 streams from 24 s to 33 s paused for more than 300 ms.

- One prompt raises the observed speed by 5% at most.
- The room of an answer counts at the best pace of late, so that answers that are slow for such reasons do not ask for more decode engines.
- Prefill engines are released only as far as the others read for 0.75 of their time, and a goal ends when a further change is of no use.

--- a/entry/order/stages.go
+++ b/entry/order/stages.go
@@ -18,9 +18,14 @@
 }
 
 const (
-	// worthSwitching is by how much the generations in a second must grow for an engine to change its role, which takes
-	// it out of service for seconds.
-	worthSwitching = 1.15
+	// worthReleasing and worthTaking are by how much the generations in a second must grow for prefill engines to become
+	// decode engines, or the other way round. An engine that changes is out of service for seconds; a decode engine also
+	// has answers to end first.
+	worthReleasing = 1.1
+	worthTaking    = 1.15
+	// prefillLoad is the part of their time that the remaining prefill engines read at most when others are released. Beyond
+	// it prompts wait in line, and decode engines read them between the tokens of the answers that they make.
+	prefillLoad = 0.75
 	// settleFor is how long the engines must have stayed the same before a change: an engine that starts again is back
 	// by then.
 	settleFor = 1500 * time.Millisecond
@@ -102,8 +107,12 @@
 		return nil
 	}
 	goal, changing := p.goals[service]
-	if !changing || goal >= counts[0]+counts[1] || goal == counts[0] {
-		goal = bestPrefill(counts[0], counts[1], demand)
+	if changing && goal != counts[0] {
+		// What was worth beginning goes on as long as each further engine is of use.
+		goal = between(counts[0], goal, bestPrefill(counts[0], counts[1], demand, 1, 1))
+	}
+	if !changing || goal == counts[0] {
+		goal = bestPrefill(counts[0], counts[1], demand, worthTaking, worthReleasing)
 	}
 	p.goals[service] = goal
 	from, to, missing := rolePrefill, roleDecode, counts[0]-goal
@@ -127,26 +136,38 @@
 	return orders
 }
 
-// rate is how many generations in a second the engines can serve.
-func rate(prefill, decode int, d Demand) float64 {
-	return min(float64(prefill)/d.Read.Seconds(), float64(decode)/d.Hold.Seconds())
+// rate is how many generations in a second the engines can serve when prefill engines read for a part of their time.
+func rate(prefill, decode int, d Demand, load float64) float64 {
+	return min(load*float64(prefill)/d.Read.Seconds(), float64(decode)/d.Hold.Seconds())
 }
 
+// between returns the number on the way from one number to a goal that is nearest to a wish.
+func between(from, goal, wish int) int { return max(min(from, goal), min(wish, max(from, goal))) }
+
 // bestPrefill returns how many of the engines should be prefill engines: the number that serves the most generations if
-// those are enough more than now, and the present number otherwise.
-func bestPrefill(prefill, decode int, d Demand) int {
+// those are enough times more than now, and the present number otherwise.
+func bestPrefill(prefill, decode int, d Demand, taking, releasing float64) int {
 	// A service whose engines all have one stage was set up without the other one.
 	if d.Read <= 0 || d.Hold <= 0 || prefill == 0 || decode == 0 {
 		return prefill
 	}
-	engines, best := prefill+decode, prefill
-	for n := 1; n < engines; n++ {
-		if rate(n, engines-n, d) > rate(best, engines-best, d) {
-			best = n
+	if n := best(prefill, decode, prefill+1, prefill+decode-1, d, 1, taking); n != prefill {
+		return n
+	}
+	return best(prefill, decode, 1, prefill-1, d, prefillLoad, releasing)
+}
+
+// best returns the number of prefill engines, from one up to another, at which all engines serve the most generations, or the
+// present number unless that is worth the change.
+func best(prefill, decode, from, to int, d Demand, load, worth float64) int {
+	engines, found := prefill+decode, prefill
+	for n := from; n <= to; n++ {
+		if rate(n, engines-n, d, load) > rate(found, engines-found, d, load) {
+			found = n
 		}
 	}
-	if rate(best, engines-best, d) > rate(prefill, decode, d)*worthSwitching {
-		return best
+	if rate(found, engines-found, d, load) > rate(prefill, decode, d, load)*worth {
+		return found
 	}
 	return prefill
 }
--- a/entry/place/demand.go
+++ b/entry/place/demand.go
@@ -7,6 +7,8 @@
 	// demandKnown is how many make them known.
 	demandGain  = 0.02
 	demandKnown = 40
+	// paceFade lets the best pace fade, so that engines that have become slower for good are noticed.
+	paceFade = 1.01
 )
 
 // Demand averages what generations ask of engines, those of this entry and those that other entries report.
@@ -16,8 +18,9 @@
 	// Room is the average of the tokens held in memory times how long they are held, in nanoseconds.
 	Room float64
 	// pace is the average time for one output token of this entry's generations, in nanoseconds; 0 while there were none.
-	pace  float64
-	count int
+	// best is that of the fastest of late.
+	pace, best float64
+	count      int
 
 	own   DemandTotal
 	peers map[uint64]DemandTotal
@@ -30,19 +33,22 @@
 	RoomMillis uint64
 }
 
-// Add takes a whole generation of this entry into account, which held prompt and output tokens for a time.
+// Add takes a whole generation of this entry into account, which held prompt and output tokens for a time. Its room counts
+// as if it had been made at the best pace: an engine that is slow because it reads prompts, or stops answers, needs fewer
+// requests and not more engines of its kind.
 func (d *Demand) Add(prompt, output int, held time.Duration) {
+	pace := float64(held) / float64(max(1, output))
+	if d.pace == 0 {
+		d.pace, d.best = pace, pace
+	}
+	d.pace += demandGain * (pace - d.pace)
+	d.best = min(pace, d.best*paceFade)
 	// The output grows while it is made, so that half of it is held on average.
-	room := (float64(prompt) + float64(output)/2) * float64(held)
+	room := (float64(prompt) + float64(output)/2) * d.best * float64(max(1, output))
 	d.own.Generations++
 	d.own.PromptTokens += uint64(max(0, prompt))
 	d.own.RoomMillis += uint64(max(0, room) / float64(time.Millisecond))
 	d.learn(1, float64(prompt), room)
-	if pace := float64(held) / float64(max(1, output)); d.pace == 0 {
-		d.pace = pace
-	} else {
-		d.pace += demandGain * (pace - d.pace)
-	}
 }
 
 // Lasts returns how long an answer of that many output tokens lasts, or 0 while that is not known.
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -486,3 +486,48 @@
 		t.Errorf("got %v, want the load of the session that goes on to count", err)
 	}
 }
+
+// TestSlowAnswersAskForNoEngines guards against prefill engines that become decode engines because answers are slow, which
+// makes decode engines read more prompts and answers slower still.
+func TestSlowAnswersAskForNoEngines(t *testing.T) {
+	var d Demand
+	for range 2 * demandKnown {
+		d.Add(5000, 4000, 3*time.Second)
+	}
+	before := d.Room
+	for i := range 2 * demandKnown {
+		held := 3 * time.Second
+		if i%10 > 0 {
+			held = 6 * time.Second
+		}
+		d.Add(5000, 4000, held)
+	}
+	if got := d.Room / before; got > 1.15 {
+		t.Errorf("got %.2f times the room for the same answers at half the pace, want less than what makes an engine change", got)
+	}
+	for range 20 * demandKnown {
+		d.Add(5000, 4000, 6*time.Second)
+	}
+	if got := d.Room / before; got < 1.8 {
+		t.Errorf("got %.2f times the room once all answers are slow for long, want about 2", got)
+	}
+}
+
+// TestReadingOfKnownPrompts guards against prefill engines that seem to need no time because they had read a prompt before.
+func TestReadingOfKnownPrompts(t *testing.T) {
+	table := NewTable(0)
+	for range 20 {
+		table.ObserveRead(5000, 91*time.Millisecond)
+	}
+	before := table.Reading(5000)
+	table.ObserveRead(5000, 3*time.Millisecond)
+	if got := table.Reading(5000); got < before*9/10 {
+		t.Errorf("got %v for a prompt after one that was known, want about %v", got, before)
+	}
+	for range 40 {
+		table.ObserveRead(5000, 45*time.Millisecond)
+	}
+	if got, want := table.Reading(5000), 46*time.Millisecond; got > want {
+		t.Errorf("got %v once engines are twice as fast, want at most %v", got, want)
+	}
+}
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -10,6 +10,9 @@
 	decodeShare = 0.5
 	// speedFade lets an observed speed fade, so that a slower engine is noticed.
 	speedFade = 0.98
+	// speedGrowth bounds by how much one prompt raises the observed speed: one of which the engine had read most before
+	// seems to be read in no time.
+	speedGrowth = 1.05
 	// HandOver is the time that moving a prefill's result to a decode engine takes beside the reading.
 	HandOver = 10 * time.Millisecond
 )
@@ -24,7 +27,7 @@
 		return
 	}
 	speed := float64(tokens) / (float64(took) / float64(time.Millisecond))
-	t.speed = max(speed, t.speed*speedFade)
+	t.speed = min(max(speed, t.speed*speedFade), t.speed*speedGrowth)
 }
 
 // Forecast is the expected time to the first token of a request that was placed on a decode engine.
