--- a/entry/place/stop.go
+++ b/entry/place/stop.go
@@ -6,10 +6,10 @@
 	// stopTakesAll is how long after a stop signal an entry takes all requests: most answers that begin by then end in time,
 	// and a balancer learns of the stop by then.
 	stopTakesAll = time.Second
-	// stopTakesSome is the part of the grace period in which it takes requests whose answers are expected to end in time.
-	// An answer that lasts longer than expected still ends in most cases.
+	// stopTakesSome is the part of the grace period in which it takes requests whose answers are expected to end in time. A
+	// request that is cut counts as lost if it came after three eighths of it.
 	stopTakesSome = 0.35
-	// lengthDoubt is by how much answers last longer than expected, in three of four cases.
+	// lengthDoubt allows for answers that last longer than expected; their lengths vary by about half of the average.
 	lengthDoubt = 1.3
 )
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -23,8 +23,8 @@
 
 // kinds lists the faults. Those of the control group take few members at once, because the group bears the loss of two.
 var kinds = []kind{
-	{"killEntry", 4, onEntry(func(m *machine) error { return m.process.Kill() }, 200*time.Millisecond, 2*time.Second)},
-	{"stopEntry", 4, onEntry(func(m *machine) error { return m.process.Stop() }, 100*time.Millisecond, time.Second)},
+	{"killEntry", 4, onEntry(func(_ *soak, m *machine) error { return m.process.Kill() }, 200*time.Millisecond, 2*time.Second)},
+	{"stopEntry", 4, onEntry((*soak).stopInTime, 100*time.Millisecond, time.Second)},
 	{"pauseEntry", 3, pause(func(s *soak) []*machine { return s.entries })},
 	{"killControl", 4, onControl(false)},
 	{"wipeControl", 1, onControl(true)},
@@ -55,7 +55,22 @@
 	return nil
 }
 
-func onEntry(end func(m *machine) error, low, high time.Duration) func(context.Context, *soak, *rand.Rand, func(string, ...any)) error {
+// stopInTime asks a process to end and checks that it does within its grace period. One that has just started may end before
+// it handles the signal.
+func (s *soak) stopInTime(m *machine) error {
+	if err := m.process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-m.process.Done():
+		return nil
+	case <-time.After(grace + graceSlack):
+	}
+	s.broken("%s did not end within %v of the stop signal", m.name, grace+graceSlack)
+	return m.process.Kill()
+}
+
+func onEntry(end func(s *soak, m *machine) error, low, high time.Duration) func(context.Context, *soak, *rand.Rand, func(string, ...any)) error {
 	return func(ctx context.Context, s *soak, r *rand.Rand, note func(string, ...any)) error {
 		down := between(r, low, high)
 		m := claim(s.entries, r)
@@ -64,7 +79,7 @@
 		}
 		defer m.busy.Unlock()
 		note("%s, down for %v", m.name, down)
-		if err := end(m); err != nil {
+		if err := end(s, m); err != nil {
 			return err
 		}
 		sleep(ctx, down)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -33,8 +33,11 @@
 	lockPort     = 7999
 )
 
-// grace is how long a process may go on after a stop signal.
-const grace = 4 * time.Second
+const (
+	// grace is how long a process may go on after a stop signal, graceSlack what a busy machine may add.
+	grace      = 4 * time.Second
+	graceSlack = 2 * time.Second
+)
 
 // machine is one process of the system, which may be down, and what it is started with.
 type machine struct {
