--- a/entry/order/stages.go
+++ b/entry/order/stages.go
@@ -25,7 +25,7 @@
 	worthTaking    = 1.15
 	// prefillLoad is the part of their time that the remaining prefill engines read at most when others are released. Beyond
 	// it prompts wait in line, and decode engines read them between the tokens of the answers that they make.
-	prefillLoad = 0.75
+	prefillLoad = 0.85
 	// settleFor is how long the engines must have stayed the same before a change: an engine that starts again is back
 	// by then.
 	settleFor = 1500 * time.Millisecond
