Simplify the soak, the stand-ins and the search for room

- A stream notes in one place that a decode engine received it, and the search for room counts an engine without room in one place.
The share of connections of a reservation is worked out in one place.

No behaviour of the product changes.

--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -91,9 +91,6 @@
 	}
 }
 
-// Reset resets the connections that are open now.
-func (p *Proxy) Reset() { p.closeAll(func(*link) bool { return true }) }
-
 // SilenceOpen makes the connections that are open now carry nothing for good, while new ones work. It returns their
 // number.
 func (p *Proxy) SilenceOpen() int {
--- a/entry/caller/limits.go
+++ b/entry/caller/limits.go
@@ -7,7 +7,8 @@
 	"azuredoor.example/entry/relay"
 )
 
-// limits refuses requests with too many headers, or whose end another server might see elsewhere. The server enforces the limits on sizes and times.
+// limits refuses requests with too many headers, or whose end another server might see elsewhere. The server enforces the
+// limits on sizes and times.
 type limits struct {
 	headers int
 }
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -23,15 +23,20 @@
 	maxReserves = 6
 	// maxGoOnReserves is the same for a stream that goes on at another engine.
 	maxGoOnReserves = 30
+	// maxReservationBytes bounds the answer to a reservation.
+	maxReservationBytes = 4 << 10
 )
 
+var errNoRoom = errors.New("the engine keeps no room")
+
 // reserve asks an engine to keep room for the request, so that no prompt is read for an engine that has none, and no
 // running answer is stopped for want of memory. All entries ask the engine itself: what they tell each other is too old
 // for that when many of them place requests at once. Engines that keep no room get an empty ID.
 func (q *request) reserve(u place.Upstream) (id string, outcome place.Outcome, err error) {
-	engine := q.document.Services[u.Service].Engine
+	service := q.document.Services[u.Service]
+	engine, connections := service.Engine, q.router.connections(service)
 	if engine == nil || engine.Reservation <= 0 {
-		err := q.router.config.Pool.Ensure(q.ctx, u.Address, q.router.connections(q.document.Services[u.Service]))
+		err := q.router.config.Pool.Ensure(q.ctx, u.Address, connections)
 		return "", q.reserveOutcome(err), err
 	}
 	out, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -41,7 +46,7 @@
 	out.Header.SetHost(u.Address)
 	call := conn.Call{
 		Address: u.Address, Request: out, Reuse: true, FirstByte: reserveTimeout, Silence: reserveTimeout, MaxBody: maxReservationBytes,
-		Limit: q.router.connections(q.document.Services[u.Service]),
+		Limit: connections,
 	}
 	if err := q.router.config.Pool.Do(q.ctx, call, response); err != nil {
 		return "", q.reserveOutcome(err), err
@@ -66,11 +71,6 @@
 	return max(1, q.call.PromptTokens+int(reservedOutput*float64(q.expected)))
 }
 
-// maxReservationBytes bounds the answer to a reservation.
-const maxReservationBytes = 4 << 10
-
-var errNoRoom = errors.New("the engine keeps no room")
-
 // reserveOutcome judges a call that failed before the request itself was sent.
 func (q *request) reserveOutcome(err error) place.Outcome {
 	switch {
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -55,6 +55,8 @@
 			q.refuse(refused)
 			return
 		}
+		// A prompt that no engine has received is still read on a prefill engine.
+		again = again || s.written
 		if s.err == nil && s.outcome == place.Served && s.response.StatusCode() < 300 {
 			done := q.relay(s, &last)
 			q.count(s)
@@ -74,7 +76,6 @@
 				return
 			} else if whole && last == "" {
 				s.release()
-				again = true
 				q.exclude(s.upstream)
 				continue
 			}
@@ -90,8 +91,6 @@
 				return
 			}
 		}
-		// A prompt that no engine has received is still read on a prefill engine.
-		again = again || s.written
 		if refusals > maxRefused || unreached > maxUnreached || !q.maySendAgain() {
 			q.refuse(q.unavailable(place.ErrBusy))
 			return
@@ -160,25 +159,23 @@
 		// The caller has part of the answer: that is lost unless an engine takes over before it leaves.
 		until, most = time.Now().Add(goOnShare*q.route.Target), maxGoOnReserves
 	}
-	for tried := 1; ; tried++ {
+	for range most {
 		u, err := q.router.pick(q.ctx, q.need, until)
 		if err != nil {
 			return u, nil, q.unavailable(err)
 		}
 		s := &send{upstream: u, need: q.need, began: time.Now()}
 		f.Reservation, s.outcome, s.err = q.reserve(u)
-		switch {
-		case s.outcome == place.Served:
+		switch s.outcome {
+		case place.Served:
 			return u, nil, nil
-		case s.outcome == place.Full && tried < most:
-			q.count(s)
-		case s.outcome == place.Full:
+		case place.Full:
 			q.count(s)
-			return u, nil, q.unavailable(place.ErrBusy)
 		default:
 			return u, s, nil
 		}
 	}
+	return u, nil, q.unavailable(place.ErrBusy)
 }
 
 func (r *Router) forecast(u place.Upstream, need place.Need, prompt int) place.Forecast {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -14,11 +14,14 @@
 	"azuredoor.example/bench/proxy"
 )
 
-// kind is one kind of fault. It acts until it is over and leaves everything running.
+// fault acts until it is over and leaves everything running. It notes what it does.
+type fault func(ctx context.Context, s *soak, r *rand.Rand, note func(format string, args ...any)) error
+
+// kind is one kind of fault; its weight is how often it is drawn beside the others.
 type kind struct {
 	name   string
 	weight int
-	act    func(ctx context.Context, s *soak, r *rand.Rand, note func(format string, args ...any)) error
+	act    fault
 }
 
 // kinds lists the faults. Those of the control group take few members at once, because the group bears the loss of two.
@@ -70,7 +73,7 @@
 	return m.process.Kill()
 }
 
-func onEntry(end func(s *soak, m *machine) error, low, high time.Duration) func(context.Context, *soak, *rand.Rand, func(string, ...any)) error {
+func onEntry(end func(s *soak, m *machine) error, low, high time.Duration) fault {
 	return func(ctx context.Context, s *soak, r *rand.Rand, note func(string, ...any)) error {
 		down := between(r, low, high)
 		m := claim(s.entries, r)
@@ -88,7 +91,7 @@
 }
 
 // onControl kills a member; with wipe it loses its disk, as a VM that is replaced at the same address.
-func onControl(wipe bool) func(context.Context, *soak, *rand.Rand, func(string, ...any)) error {
+func onControl(wipe bool) fault {
 	return func(ctx context.Context, s *soak, r *rand.Rand, note func(string, ...any)) error {
 		down := between(r, 200*time.Millisecond, 3*time.Second)
 		if !s.spare.TryAcquire(1) {
@@ -109,7 +112,8 @@
 		}
 		if wipe {
 			defer func() {
-				// The group takes the emptied member in again before another one may lose its disk.
+				// The group takes the emptied member in again before another one may lose its disk. Until then it counts
+				// among those that are away.
 				sleep(ctx, wipeEvery)
 				s.wiping.Unlock()
 			}()
@@ -122,7 +126,7 @@
 	}
 }
 
-func pause(pick func(s *soak) []*machine) func(context.Context, *soak, *rand.Rand, func(string, ...any)) error {
+func pause(pick func(s *soak) []*machine) fault {
 	return func(ctx context.Context, s *soak, r *rand.Rand, note func(string, ...any)) error {
 		machines, down := pick(s), between(r, 300*time.Millisecond, 6*time.Second)
 		if machines[0] == s.controls[0] {
@@ -149,7 +153,7 @@
 func killAll(ctx context.Context, s *soak, r *rand.Rand, note func(string, ...any)) error {
 	down := between(r, 300*time.Millisecond, 1500*time.Millisecond)
 	var taken []*machine
-	for _, m := range append(append([]*machine{}, s.controls...), s.entries...) {
+	for _, m := range s.machines() {
 		if m.busy.TryLock() {
 			taken = append(taken, m)
 			defer m.busy.Unlock()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,9 +43,9 @@
 
 // machine is one process of the system, which may be down, and what it is started with.
 type machine struct {
-	name, program, dir string
-	args               []string
-	process            *fleet.Process
+	name, program string
+	args          []string
+	process       *fleet.Process
 	// busy is held while a fault acts on the machine.
 	busy sync.Mutex
 }
@@ -88,13 +90,22 @@
 	return addresses
 }
 
-func build(ctx context.Context, root, bin string) error {
+// Build builds the programs of the system from the folder of the repository.
+func Build(ctx context.Context, root, bin string) error {
 	if err := os.MkdirAll(bin, 0o755); err != nil {
 		return eris.Wrap(err, "make the folder for programs")
 	}
-	return command(ctx, root, "go", "build", "-o", bin+"/", "./platform/cmd/...")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", bin+"/", "./platform/cmd/...")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return eris.Errorf("build the programs: %v: %s", err, out)
+	}
+	return nil
 }
 
+// machines are the processes of the system.
+func (s *system) machines() []*machine { return slices.Concat(s.controls, s.entries) }
+
 func startSystem(o Options) (*system, error) {
 	s := &system{dir: o.Dir, bin: o.Bin, runner: fleet.NewRunner(), journal: standin.NewJournal(), born: time.Now().UnixMilli()}
 	for s.network = firstNetwork; s.network <= lastNetwork; s.network++ {
@@ -111,21 +122,23 @@
 	for i := range s.controls {
 		s.controls[i] = s.machine("control", 11+i, i, "azuredoor-platform-control",
 			"-listen", s.address(11+i, listenPort), "-data-dir", filepath.Join(o.Dir, fmt.Sprintf("data-%d", i+1)), "-tolerated-losses", "2",
-			"-announce-every", "400ms", "-first-start=true")
+			"-announce-every", "400ms")
 	}
 	for i := range o.Entries {
 		s.entries = append(s.entries, s.machine("entry", 51+i, i, "azuredoor-platform-entry",
 			"-listen", s.address(51+i, listenPort), "-ready-listen", s.address(51+i, readyPort), "-grace", grace.String(), "-revocation", revocation.String(),
 			"-retry-ratio", "1", "-retry-slack", "1000000"))
 	}
-	for _, m := range append(append([]*machine{}, s.controls...), s.entries...) {
-		if err := s.start(m); err != nil {
+	for _, m := range s.controls {
+		// Only the start of the whole fleet forms a group.
+		if err := s.start(m, "-first-start=true"); err != nil {
 			return s, err
 		}
 	}
-	for i := range s.controls {
-		// Only the start of the whole fleet forms a group.
-		s.controls[i].args[len(s.controls[i].args)-1] = "-first-start=false"
+	for _, m := range s.entries {
+		if err := s.start(m); err != nil {
+			return s, err
+		}
 	}
 	for i := range s.entries {
 		door, err := proxy.Start("127.0.0.1:0", s.address(51+i, listenPort))
@@ -149,7 +162,7 @@
 	for n := range min(3, len(s.controls)) {
 		seeds = append(seeds, s.address(11+n, listenPort))
 	}
-	m := &machine{name: fmt.Sprintf("%s-%d", role, i+1), program: filepath.Join(s.bin, program), dir: s.dir}
+	m := &machine{name: fmt.Sprintf("%s-%d", role, i+1), program: filepath.Join(s.bin, program)}
 	m.args = append([]string{
 		"-name", m.name, "-ip", s.host(host), "-failure-domain", string(rune('a' + i%3)), "-region", "r", "-internal-ports", groupPorts,
 		"-seeds", strings.Join(seeds, ","), "-memory-megabytes", "200",
@@ -157,8 +170,8 @@
 	return m
 }
 
-func (s *system) start(m *machine) error {
-	p, err := s.runner.Start(m.name, filepath.Join(m.dir, m.name+".log"), m.program, m.args...)
+func (s *system) start(m *machine, more ...string) error {
+	p, err := s.runner.Start(m.name, filepath.Join(s.dir, m.name+".log"), m.program, slices.Concat(m.args, more)...)
 	m.process = p
 	return eris.Wrap(err, "start a process")
 }
@@ -197,7 +210,7 @@
 	for _, door := range s.doors {
 		errs = append(errs, door.Close())
 	}
-	for _, m := range append(append([]*machine{}, s.entries...), s.controls...) {
+	for _, m := range s.machines() {
 		if m.process != nil && m.process.Running() {
 			errs = append(errs, m.process.Signal(syscall.SIGCONT), m.process.Kill())
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"sync"
 	"time"
 
@@ -94,18 +93,6 @@
 	at      time.Time
 }
 
-// Build builds the programs of the system from the folder of the repository.
-func Build(ctx context.Context, root, bin string) error { return build(ctx, root, bin) }
-
-func command(ctx context.Context, dir, name string, args ...string) error {
-	cmd := exec.CommandContext(ctx, name, args...)
-	cmd.Dir = dir
-	if out, err := cmd.CombinedOutput(); err != nil {
-		return eris.Errorf("%s: %v: %s", name, err, out)
-	}
-	return nil
-}
-
 // Run runs one soak. The error says that it could not be run; what it found is in the report.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
