--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -27,6 +27,7 @@
 	UpstreamChanged
 	ConnectionEnded
 	ReadinessChanged
+	CoordinatorChanged
 )
 
 var entryEvents = map[ID]Description{
@@ -53,4 +54,5 @@
 	UpstreamChanged:     {log.InfoLevel, "an upstream came, changed or left"},
 	ConnectionEnded:     {log.InfoLevel, "connections of callers ended without an answer"},
 	ReadinessChanged:    {log.InfoLevel, "readiness changed"},
+	CoordinatorChanged:  {log.InfoLevel, "another entry coordinates"},
 }
--- /dev/null
+++ b/entry/coordinator/upstreams.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/place"
+)
+
+// requestsPerSlot is how many requests per slot a plain upstream gets before further requests wait in the router.
+// Upstreams queue a few more requests than they run.
+const requestsPerSlot = 3
+
+// Upstreams returns the upstreams of a view that may get requests. The capacity of a decode engine is its whole memory.
+func Upstreams(view *control.View) []place.Upstream {
+	inUse := make(map[string]int, len(view.Upstreams))
+	for _, u := range view.Upstreams {
+		if u.State != fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
+			inUse[u.Address]++
+		}
+	}
+	upstreams := make([]place.Upstream, 0, len(view.Upstreams))
+	for _, u := range view.Upstreams {
+		if u.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN && (u.Sequence == withdrawn || inUse[u.Address] > 0) {
+			// The upstream will not come back: it has withdrawn, or another upstream has its address.
+			continue
+		}
+		upstream := place.Upstream{
+			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
+			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
+			Capacity: int(u.Slots) * requestsPerSlot,
+		}
+		if view.Document != nil {
+			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
+				upstream.Capacity, upstream.Slots = s.Engine.CacheTokens, s.Engine.Slots
+				if upstream.Role == place.RolePrefill {
+					upstream.Capacity, upstream.Slots = 0, 0
+				}
+			}
+		}
+		upstreams = append(upstreams, upstream)
+	}
+	return upstreams
+}
+
+// withdrawn is the sequence number of an upstream that has withdrawn for good.
+const withdrawn = ^uint64(0)
+
+// Engines returns the engines among the upstreams of a view.
+func Engines(view *control.View) []place.Upstream {
+	var engines []place.Upstream
+	for _, u := range Upstreams(view) {
+		if u.Role != place.RoleAny {
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -25,6 +25,7 @@
 	"azuredoor.example/core/settings"
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/coordinator"
 	"azuredoor.example/entry/http1"
 	"azuredoor.example/entry/order"
 	"azuredoor.example/entry/usage"
@@ -169,6 +170,10 @@
 	metrics *metric.Root
 	fleet   *control.Client
 	limiter *usage.Limiter
+	// coordinator serves the other entries while they choose this one.
+	coordinator *coordinator.Coordinator
+	// roles controls the roles of engines.
+	roles   *order.Controller
 	router  *web.Router
 	callers *http1.Server
 	pool    *conn.Pool
@@ -247,18 +252,23 @@
 		Members: addresses, Reseed: func() []string { return *e.addresses.Load() }, Decode: c.Decode, Dialer: dialer,
 		Events: events, FreshnessBound: freshnessBound,
 	})
-	e.limiter = usage.New(e.fleet, dialer)
+	e.coordinator = coordinator.New(e.fleet)
+	e.limiter = usage.New(usage.Config{
+		Control: e.fleet, Dialer: dialer, Coordinator: e.coordinator, Events: events,
+		Changing: func() map[string]uint64 { return e.roles.Changing(time.Now(), e.fleet.View()) },
+	})
 	e.pool = conn.NewPool(conn.Options{
 		ConnectTimeout: upstreamConnectTimeout, AckTimeout: upstreamAckTimeout, IdleTimeout: upstreamIdleTimeout,
 		KeepAliveTimeout: upstreamKeepAliveTimeout,
 	})
 	e.router = web.New(web.Config{
-		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
+		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
 		FreshFor: freshnessBound, Grace: c.Grace - stopMargin,
 		RetryPercent: c.RetryRatio * retryBudgetShare * 100, RetryFloor: int(float64(c.RetrySlack) * retryBudgetShare),
 		Metrics: metric.NewRequests(e.metrics.Scope), Events: events, Background: &e.background,
 	})
 	e.limiter.SetLoads(e.router)
+	e.roles = e.orders()
 	e.callers = http1.New(http1.Config{
 		Handler: e.router, Bounds: e.bounds,
 		Dropped: func(reason string) {
@@ -292,7 +302,7 @@
 		return eris.Wrapf(err, "listen on %s:%s", e.config.IP, port)
 	}
 	server := fleetrpc.NewServer(e.config.Fleet, e.events)
-	fleetpb.RegisterPeerServer(server, e.limiter)
+	fleetpb.RegisterPeerServer(server, e.coordinator)
 	monitor := &fasthttp.Server{
 		Handler: e.serveMonitor, NoDefaultServerHeader: true, ReadTimeout: httpReadTimeout, IdleTimeout: httpIdleTimeout,
 		CloseOnShutdown: true,
@@ -300,7 +310,7 @@
 	group.Go(func() error { return e.fleet.Run(ctx) })
 	group.Go(func() error { return e.limiter.Run(ctx) })
 	if e.config.WriteOrder != nil {
-		group.Go(func() error { return e.orders().Run(ctx) })
+		group.Go(func() error { return e.roles.Run(ctx) })
 	}
 	group.Go(func() error { return e.callers.Serve(callers) })
 	group.Go(func() error { return server.Serve(peers) })
@@ -370,6 +380,7 @@
 func (e *webEntry) drain() {
 	start := time.Now()
 	e.stopping.Store(true)
+	e.coordinator.Resign()
 	e.callers.Drain(e.config.Grace - stopMargin)
 	e.events.Write(event.EntryDraining, func(l *log.Entry) {
 		l.Int64("connections", e.callers.OpenConnections()).Int64("requests", e.callers.ActiveRequests())
--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// peerTimeout is how long a peer may send no report before the peer is assumed to use its equal share of each limit.
-	peerTimeout = time.Second
+	// DefaultSilence is the default of Meter.Silence.
+	DefaultSilence = time.Second
 	// refusedWorkWindow limits the refused work that counts towards a retry delay, in time at the rate of the limit.
 	refusedWorkWindow = 2 * time.Second
 )
@@ -20,6 +20,8 @@
 	Tokens int64
 	// Level is the entry's estimate of the tokens left in the bucket.
 	Level float64
+	// Acknowledged is the part of Tokens that a coordinator has counted.
+	Acknowledged int64
 }
 
 // Meter limits customers by the use that all entries report to each other. It stops a customer that sends several times
@@ -32,10 +34,20 @@
 // tokens that the entries admit within one report interval. While a peer is silent, an entry reserves an equal share of
 // the rate for the peer.
 //
+// In a fleet with a coordinator, the coordinator's meter observes the reports of all entries, and the meters of the
+// entries have no peers: Confirm adopts the levels of the coordinator. An entry without confirmation refills its buckets
+// at its equal share of the rate.
+//
 // A Meter is not safe for concurrent use.
 type Meter struct {
+	// Silence is how long a peer may send no report before it is assumed to use its equal share of each limit, and how
+	// long levels count as confirmed.
+	Silence time.Duration
 	buckets map[string]*meterBucket
 	peers   map[uint64]*meterPeer
+	// entries is the number of entries that share the limits through a coordinator, or 0 without one.
+	entries     int
+	confirmedAt time.Time
 }
 
 type meterBucket struct {
@@ -45,6 +57,8 @@
 	// admitted is the total that this entry reports. credit counts refunded tokens that later admissions have not yet
 	// consumed.
 	admitted, credit int64
+	// acknowledged is the part of admitted that a coordinator has counted.
+	acknowledged int64
 	// refusedWork counts the tokens of refused requests that are expected to be retried.
 	refusedWork float64
 }
@@ -59,9 +73,12 @@
 
 // NewMeter returns a meter without peers.
 func NewMeter() *Meter {
-	return &Meter{buckets: map[string]*meterBucket{}, peers: map[uint64]*meterPeer{}}
+	return &Meter{Silence: DefaultSilence, buckets: map[string]*meterBucket{}, peers: map[uint64]*meterPeer{}}
 }
 
+// SetEntries sets the number of entries that share the limits through a coordinator, including this one.
+func (m *Meter) SetEntries(n int) { m.entries = n }
+
 // SetPeers replaces the sessions that share the limits.
 func (m *Meter) SetPeers(now time.Time, sessions []uint64) {
 	next := map[uint64]*meterPeer{}
@@ -100,11 +117,14 @@
 	gain := elapsed * float64(b.limit.TokensPerSecond)
 	share := gain / float64(len(m.peers)+1)
 	for _, p := range m.peers {
-		if now.Sub(p.lastReport) > peerTimeout {
+		if now.Sub(p.lastReport) > m.Silence {
 			p.assumed[name] += share
 			gain -= share
 		}
 	}
+	if m.entries > 1 && now.Sub(m.confirmedAt) > m.Silence {
+		gain /= float64(m.entries)
+	}
 	b.level = min(b.level+gain, float64(b.limit.BurstTokens))
 	b.refusedWork = max(0, b.refusedWork-gain)
 }
@@ -137,11 +157,44 @@
 	uses := make([]Use, 0, len(m.buckets))
 	for name, b := range m.buckets {
 		m.refill(now, name, b)
-		uses = append(uses, Use{Bucket: name, Tokens: b.admitted, Level: b.level})
+		uses = append(uses, Use{Bucket: name, Tokens: b.admitted, Level: b.level, Acknowledged: b.acknowledged})
 	}
 	return uses
 }
 
+// Confirm adopts the coordinator's levels after a report of this entry. Buckets of the report that the response lacks are
+// full.
+func (m *Meter) Confirm(now time.Time, reported, levels []Use, limits func(bucket string) (config.Limit, bool)) {
+	m.confirmedAt = now
+	tokens := make(map[string]int64, len(reported))
+	for _, u := range reported {
+		tokens[u.Bucket] = u.Tokens
+	}
+	adopt := func(name string, limit config.Limit, level float64) {
+		b := m.bucket(now, name, limit)
+		b.acknowledged = max(b.acknowledged, tokens[name])
+		// Tokens admitted since the report are not in the level, and refunded ones still are.
+		b.level = min(level-float64(b.admitted-tokens[name])+float64(b.credit), float64(limit.BurstTokens))
+	}
+	for _, u := range levels {
+		if limit, ok := limits(u.Bucket); ok {
+			adopt(u.Bucket, limit, u.Level)
+		}
+		delete(tokens, u.Bucket)
+	}
+	for _, u := range reported {
+		if _, full := tokens[u.Bucket]; !full {
+			continue
+		}
+		if limit, ok := limits(u.Bucket); ok {
+			adopt(u.Bucket, limit, float64(limit.BurstTokens))
+		}
+	}
+}
+
+// Full reports whether a use describes a full bucket.
+func (u Use) Full(limit config.Limit) bool { return u.Level >= float64(limit.BurstTokens) }
+
 // Observe applies the report of a peer. limits returns the limit of a bucket; buckets without a limit are skipped.
 func (m *Meter) Observe(now time.Time, session uint64, uses []Use, limits func(bucket string) (config.Limit, bool)) {
 	p := m.peers[session]
@@ -159,9 +212,10 @@
 			used := float64(max(0, u.Tokens-last)) - p.assumed[u.Bucket]
 			b.level = min(b.level-used, float64(limit.BurstTokens))
 		} else {
-			// This is the peer's first report: its total includes use before this entry knew the peer, so only
-			// the level is comparable.
-			b.level = min(b.level, u.Level)
+			// This is the peer's first report. Its total includes use that an earlier coordinator counted, so the level
+			// is compared at the time of the last acknowledged report.
+			further := float64(u.Tokens - u.Acknowledged)
+			b.level = min(b.level, u.Level+further) - further
 		}
 		p.assumed[u.Bucket] = 0
 		p.tokens[u.Bucket] = max(p.tokens[u.Bucket], u.Tokens)
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -225,3 +225,117 @@
 		m.Refund(now, "c", l, 900)
 	}
 }
+
+// coordinatedFleet simulates entries whose meters are confirmed by the meter of a coordinator.
+type coordinatedFleet struct {
+	entries     []*Meter
+	coordinator *Meter
+	now         time.Time
+	limit       config.Limit
+}
+
+func newCoordinatedFleet(n int, l config.Limit) *coordinatedFleet {
+	f := &coordinatedFleet{now: time.Unix(1000, 0), limit: l}
+	for range n {
+		m := NewMeter()
+		m.SetEntries(n)
+		m.confirmedAt = f.now
+		f.entries = append(f.entries, m)
+	}
+	f.replaceCoordinator()
+	return f
+}
+
+func (f *coordinatedFleet) replaceCoordinator() {
+	f.coordinator = NewMeter()
+	var sessions []uint64
+	for i := range f.entries {
+		sessions = append(sessions, uint64(i))
+	}
+	f.coordinator.SetPeers(f.now, sessions)
+}
+
+func (f *coordinatedFleet) report(i int) {
+	limits := func(string) (config.Limit, bool) { return f.limit, true }
+	uses := f.entries[i].Report(f.now)
+	f.coordinator.Observe(f.now, uint64(i), uses, limits)
+	var levels []Use
+	for _, u := range f.coordinator.Report(f.now) {
+		if !u.Full(f.limit) {
+			levels = append(levels, u)
+		}
+	}
+	f.entries[i].Confirm(f.now, uses, levels, limits)
+}
+
+// TestCoordinatedLimit guards against a customer that exceeds its rate through the entries of a large fleet, also while
+// the coordinator is replaced or some entries reach none, and against a large fleet that refuses a customer within its
+// rate because each entry hears of the others seldom.
+func TestCoordinatedLimit(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 20_000, BurstTokens: 20_000}
+	const step = 10 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		entries  int
+		demand   float64
+		interval time.Duration
+		cut      int
+		replace  time.Duration
+		// least is the fraction of the demand, or of the rate if lower, that must be admitted.
+		least float64
+	}{
+		{"within the rate", 118, 0.5, 236 * time.Millisecond, 0, 0, 1},
+		{"within the rate, 300 entries", 300, 0.5, 600 * time.Millisecond, 0, 0, 1},
+		{"five times the rate", 118, 5, 236 * time.Millisecond, 0, 0, 0.95},
+		{"five times the rate, a sixth cut off", 118, 5, 236 * time.Millisecond, 20, 0, 0.8},
+		{"five times the rate, coordinators replaced", 118, 5, 236 * time.Millisecond, 0, 3 * time.Second, 0.95},
+		{"within the rate, coordinators replaced", 118, 0.5, 236 * time.Millisecond, 0, 3 * time.Second, 0.99},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			f := newCoordinatedFleet(test.entries, l)
+			for _, m := range f.entries {
+				m.Silence = max(DefaultSilence, 4*test.interval)
+			}
+			const seconds = 30
+			type admitted struct{ at, tokens float64 }
+			var all []admitted
+			offered, got, owed := 0.0, 0.0, 0.0
+			perStep := test.demand * float64(l.TokensPerSecond) * step.Seconds()
+			for i := range int(seconds * time.Second / step) {
+				f.now = f.now.Add(step)
+				if test.replace > 0 && time.Duration(i+1)*step%test.replace == 0 {
+					f.replaceCoordinator()
+				}
+				for owed += perStep; owed > 0; {
+					tokens := int64(500 + r.IntN(1500))
+					owed -= float64(tokens)
+					offered += float64(tokens)
+					if ok, _ := f.entries[r.IntN(test.entries)].Take(f.now, "c", l, tokens); ok {
+						got += float64(tokens)
+						all = append(all, admitted{float64(i) * step.Seconds(), float64(tokens)})
+					}
+				}
+				for e := test.cut; e < test.entries; e++ {
+					if (time.Duration(i)*step+time.Duration(e)*step)%test.interval < step {
+						f.report(e)
+					}
+				}
+			}
+			// Beyond rate and burst: what is admitted within one interval, and a request of each entry.
+			most := 8*float64(l.TokensPerSecond) + float64(l.BurstTokens) + test.demand*20_000*test.interval.Seconds() + 118*2000
+			for i := range all {
+				sum := 0.0
+				for j := i; j < len(all) && all[j].at < all[i].at+8; j++ {
+					sum += all[j].tokens
+				}
+				if sum > most {
+					t.Fatalf("got %.0f tokens admitted within 8 s, want at most %.0f", sum, most)
+				}
+			}
+			if want := min(offered, seconds*float64(l.TokensPerSecond)) * test.least; got < want {
+				t.Errorf("got %.0f of %.0f tokens admitted, want at least %.0f", got, offered, want)
+			}
+		})
+	}
+}
--- a/entry/order/controller.go
+++ b/entry/order/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -71,6 +72,45 @@
 	// firstOrderAt is when a new lease holder may send its first order.
 	firstOrderAt time.Time
 	sent         uint64
+
+	mu sync.Mutex
+	// changing holds, by engine, the changes of roles that were ordered.
+	changing map[string]change
+}
+
+// change is a change of role that an engine has been ordered to make.
+type change struct {
+	incarnation uint64
+	role        string
+	until       time.Time
+}
+
+// Changing returns the engines, with their incarnations, that this entry has ordered to change their role and that have
+// not announced the new role yet.
+func (c *Controller) Changing(now time.Time, view *control.View) map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engines := map[string]uint64{}
+	for id, change := range c.changing {
+		u := view.Upstreams[id]
+		if u == nil || u.Incarnation != change.incarnation || u.Role == change.role || now.After(change.until) {
+			delete(c.changing, id)
+			continue
+		}
+		engines[id] = change.incarnation
+	}
+	return engines
+}
+
+// setChanging records an order before it is sent, because the engine may carry out an order without a response.
+func (c *Controller) setChanging(now time.Time, o Order) {
+	u := c.config.Fleet.View().Upstreams[o.Upstream]
+	if o.Kind != SetRole || u == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changing[o.Upstream] = change{incarnation: u.Incarnation, role: o.Role, until: now.Add(switchTimeout)}
 }
 
 // New returns a controller.
@@ -84,7 +124,7 @@
 	if c.Pause == 0 {
 		c.Pause = maxDeliveryDelay
 	}
-	return &Controller{config: c}
+	return &Controller{config: c, changing: map[string]change{}}
 }
 
 // Run renews the lease and sends orders until the context ends.
@@ -131,6 +171,7 @@
 		c.sent++
 		o.Fence = lease.Fence
 		o.ID = fmt.Sprintf("%d-%d", lease.Fence, c.sent)
+		c.setChanging(now, o)
 		group.Go(func() error {
 			sendErrs[i] = c.send(ctx, lease, o)
 			return nil
--- a/entry/order/controller_test.go
+++ b/entry/order/controller_test.go
@@ -74,3 +74,28 @@
 		})
 	}
 }
+
+// TestChangingEngines guards against generations placed on an engine that has been ordered to change its role: it grants
+// reservations and then refuses the generations.
+func TestChangingEngines(t *testing.T) {
+	u := engine("e0", "decode")
+	fleet := &fakeFleet{viewOf(config.Pool{Kind: "engine"}, 0, u)}
+	c := New(Config{Fleet: fleet, Sender: &fakeEngines{}, Events: event.Discard()})
+	now := time.Now()
+	if got := c.Changing(now, fleet.view); len(got) != 0 {
+		t.Errorf("before an order: got %v, want none", got)
+	}
+	order := Order{Kind: SetRole, Role: "prefill", Upstream: "e0"}
+	c.setChanging(now, order)
+	if got := c.Changing(now, fleet.view); len(got) != 1 || got["e0"] != u.Incarnation {
+		t.Errorf("ordered: got %v, want e0", got)
+	}
+	if got := c.Changing(now.Add(switchTimeout+1), fleet.view); len(got) != 0 {
+		t.Errorf("order not carried out in time: got %v, want none", got)
+	}
+	c.setChanging(now, order)
+	u.Role = "prefill"
+	if got := c.Changing(now, fleet.view); len(got) != 0 {
+		t.Errorf("new role announced: got %v, want none", got)
+	}
+}
--- /dev/null
+++ b/entry/place/book.go
@@ -0,0 +1,380 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Generation is a generation of an entry on a decode engine.
+type Generation struct {
+	// ID is unique within the session of the entry.
+	ID          uint64
+	Upstream    string
+	Incarnation uint64
+	// Prompt is the number of prompt tokens, Output that of the output tokens so far, and Expected that of the whole
+	// output. Prompt is positive.
+	Prompt, Output, Expected int
+}
+
+// GenerationNeed describes a generation that needs engines.
+type GenerationNeed struct {
+	Session    uint64
+	Service    string
+	Generation Generation
+	// FailureDomain is the failure domain of the entry.
+	FailureDomain string
+	// Exclude lists decode engines that must not be chosen. Full lists those that have just refused a reservation.
+	Exclude, Full []string
+	// Target is the latency target to the first event.
+	Target time.Duration
+}
+
+// Placement is the result of Book.Place.
+type Placement struct {
+	Decode Upstream
+	// Prefill processes the prompt. It is the zero value if the decode engine processes the prompt.
+	Prefill Upstream
+	// PrefillTime is the expected time until the prompt is processed.
+	PrefillTime time.Duration
+}
+
+const (
+	// forecastShare is the share of an engine's memory that the forecast may fill.
+	forecastShare = 0.97
+	// minRemainingShare is the share of the expected output that is assumed to remain of a generation that has reached
+	// or passed its expected length. Output lengths vary by about half of their mean.
+	minRemainingShare = 0.3
+	// lengthDeviation is the standard deviation of the remaining output, as a share of the remaining output.
+	lengthDeviation = 0.6
+	// unreportedLifetime is how long a placement counts that its entry has not reported: a few report intervals.
+	unreportedLifetime = 500 * time.Millisecond
+	// remoteEnginePenalty is the cost of a decode engine in another failure domain than the entry, as a share of the
+	// engine's memory.
+	remoteEnginePenalty = 0.04
+	// remotePrefillDelay is the delay that a prefill in another failure domain than the decode engine counts as, because
+	// moving its result takes longer.
+	remotePrefillDelay = 15 * time.Millisecond
+	// rateWeight is the weight of one report in the moving averages of rates.
+	rateWeight = 0.05
+	// changingLifetime is how long a reported change of role counts: a few report intervals.
+	changingLifetime = 2 * time.Second
+	// suspectPenalty makes an engine that an entry has ejected the last choice.
+	suspectPenalty = 10
+)
+
+// Book holds the generations of all entries and places further ones. It is designed for bursts in which the generations
+// wanted at once need more memory than the engines have: each generation is placed where the largest memory that the
+// generations will need together stays lowest, and none is placed where it is expected to exceed the memory, because
+// an engine out of memory preempts a generation and processes its prompt and output again.
+//
+// A Book is not safe for concurrent use.
+type Book struct {
+	engines map[string]*bookEngine
+	ids     []string
+	// byOwner holds the generations by session and ID.
+	byOwner map[uint64]map[uint64]*placed
+	// prefillRate is the rate of prefill engines, in tokens per millisecond.
+	prefillRate float64
+	// tokenTime is the average time per output token, or 0 before the first observation.
+	tokenTime time.Duration
+}
+
+type bookEngine struct {
+	Upstream
+	generations []*placed
+	// busyUntil is when a prefill engine has processed the prompts that were placed on it.
+	busyUntil time.Time
+	fullUntil time.Time
+	// suspectedAt is when an entry last reported an ejection, changingAt when the sender of orders last reported that the
+	// engine is about to change its role.
+	suspectedAt, changingAt time.Time
+}
+
+// usable reports whether the engine takes generations or prompts.
+func (e *bookEngine) usable(now time.Time) bool {
+	return e.Accepts && now.Sub(e.changingAt) >= changingLifetime
+}
+
+type placed struct {
+	Generation
+	session  uint64
+	engine   *bookEngine
+	placedAt time.Time
+	// outputAt is when Output was reported.
+	outputAt time.Time
+	reported bool
+}
+
+// NewBook returns a book without engines.
+func NewBook() *Book {
+	return &Book{engines: map[string]*bookEngine{}, byOwner: map[uint64]map[uint64]*placed{}, prefillRate: initialPrefillRate}
+}
+
+// Set replaces the engines. Capacity is the whole memory of a decode engine. Generations stay on an engine whose
+// incarnation and address stay the same.
+func (b *Book) Set(engines []Upstream) {
+	next := make(map[string]*bookEngine, len(engines))
+	b.ids = b.ids[:0]
+	for _, u := range engines {
+		e := b.engines[u.ID]
+		if e == nil || e.Incarnation != u.Incarnation || e.Address != u.Address {
+			e = &bookEngine{}
+		}
+		if e.Role != u.Role {
+			e.changingAt = time.Time{}
+		}
+		e.Upstream = u
+		next[u.ID] = e
+		b.ids = append(b.ids, u.ID)
+	}
+	slices.Sort(b.ids)
+	b.engines = next
+	for _, own := range b.byOwner {
+		for id, g := range own {
+			if next[g.Upstream] != g.engine {
+				delete(own, id)
+			}
+		}
+	}
+}
+
+// ObservePrefillRate records the rate of prefill engines that an entry reports, in tokens per millisecond.
+func (b *Book) ObservePrefillRate(rate float64) {
+	if rate > 0 {
+		b.prefillRate += rateWeight * (rate - b.prefillRate)
+	}
+}
+
+// Observe replaces the generations of an entry by those that it reports, except recent placements that it may not know
+// yet. It returns the number of generations that have ended, by service.
+func (b *Book) Observe(now time.Time, session uint64, reported []Generation) (ended map[string]int) {
+	ended = map[string]int{}
+	own := b.byOwner[session]
+	if own == nil {
+		own = map[uint64]*placed{}
+		b.byOwner[session] = own
+	}
+	seen := make(map[uint64]bool, len(reported))
+	for _, g := range reported {
+		seen[g.ID] = true
+		e := b.engines[g.Upstream]
+		if e == nil || e.Incarnation != g.Incarnation {
+			continue
+		}
+		p := own[g.ID]
+		if p != nil && p.engine != e {
+			b.remove(p)
+			p = nil
+		}
+		if p == nil {
+			p = &placed{session: session, engine: e, placedAt: now}
+			own[g.ID] = p
+			e.generations = append(e.generations, p)
+		}
+		if g.Output > p.Output && p.Output > 0 {
+			tokenTime := float64(now.Sub(p.outputAt)) / float64(g.Output-p.Output)
+			if b.tokenTime == 0 {
+				b.tokenTime = time.Duration(tokenTime)
+			}
+			b.tokenTime += time.Duration(rateWeight * (tokenTime - float64(b.tokenTime)))
+		}
+		if g.Output != p.Output || !p.reported {
+			p.outputAt = now
+		}
+		p.Generation, p.reported = g, true
+	}
+	for id, p := range own {
+		if !seen[id] && (p.reported || now.Sub(p.placedAt) > unreportedLifetime) {
+			b.remove(p)
+			ended[p.engine.Service]++
+		}
+	}
+	return ended
+}
+
+// Suspect records that an entry has ejected an engine because of failures.
+func (b *Book) Suspect(now time.Time, id string, incarnation uint64) {
+	if e := b.engines[id]; e != nil && e.Incarnation == incarnation {
+		e.suspectedAt = now
+	}
+}
+
+// Changing records that an engine has been ordered to change its role. It finishes its generations and refuses further
+// ones, although it still grants reservations.
+func (b *Book) Changing(now time.Time, id string, incarnation uint64) {
+	if e := b.engines[id]; e != nil && e.Incarnation == incarnation {
+		e.changingAt = now
+	}
+}
+
+// Drop removes the generations of an entry whose session has ended or that is silent.
+func (b *Book) Drop(session uint64) {
+	for _, p := range b.byOwner[session] {
+		b.remove(p)
+	}
+	delete(b.byOwner, session)
+}
+
+// Sessions returns the sessions that have generations.
+func (b *Book) Sessions() []uint64 {
+	sessions := make([]uint64, 0, len(b.byOwner))
+	for session := range b.byOwner {
+		sessions = append(sessions, session)
+	}
+	return sessions
+}
+
+func (b *Book) remove(p *placed) {
+	if i := slices.Index(p.engine.generations, p); i >= 0 {
+		p.engine.generations = slices.Delete(p.engine.generations, i, i+1)
+	}
+	delete(b.byOwner[p.session], p.ID)
+}
+
+// remaining returns the expected further output of a generation and what the generation holds now, in tokens.
+func (b *Book) remaining(now time.Time, p *placed) (held, remaining float64) {
+	output := float64(p.Output)
+	if b.tokenTime > 0 && p.Output > 0 {
+		output += float64(now.Sub(p.outputAt)) / float64(b.tokenTime)
+	}
+	remaining = max(float64(p.Expected)-output, minRemainingShare*float64(p.Expected))
+	return float64(p.Prompt) + output, remaining
+}
+
+// peak returns the largest memory in tokens that the engine's generations and a further one are expected to hold together,
+// plus one standard deviation. All generations grow at the same rate, so memory peaks just before one of them ends.
+func (b *Book) peak(now time.Time, e *bookEngine, g Generation) float64 {
+	type growth struct{ held, remaining float64 }
+	all := make([]growth, 0, len(e.generations)+1)
+	further := max(1, float64(g.Expected-g.Output))
+	all = append(all, growth{float64(g.Prompt + g.Output), further})
+	for _, p := range e.generations {
+		held, remaining := b.remaining(now, p)
+		all = append(all, growth{held, remaining})
+	}
+	slices.SortFunc(all, func(x, y growth) int { return cmp.Compare(x.remaining, y.remaining) })
+	held := 0.0
+	for _, x := range all {
+		held += x.held
+	}
+	peak := 0.0
+	for i, x := range all {
+		// At this time the generations from i on still run.
+		variance := 0.0
+		for _, y := range all[i:] {
+			grown := min(x.remaining, y.remaining) * lengthDeviation
+			variance += grown * grown
+		}
+		peak = max(peak, held+x.remaining*float64(len(all)-i)+math.Sqrt(variance))
+		held -= x.held
+	}
+	return peak
+}
+
+// Place chooses the engines of a generation and records it. It returns ErrBusy if no engine has the memory, and ErrNone
+// if no engine accepts requests.
+func (b *Book) Place(now time.Time, need GenerationNeed) (Placement, error) {
+	for _, id := range need.Full {
+		if e := b.engines[id]; e != nil {
+			e.fullUntil = now.Add(FullBackoff)
+		}
+	}
+	var best *bookEngine
+	least, accepting := math.Inf(1), 0
+	for _, id := range b.ids {
+		e := b.engines[id]
+		if e.Service != need.Service || e.Role != RoleDecode || !e.usable(now) || slices.Contains(need.Exclude, e.ID) {
+			continue
+		}
+		accepting++
+		if now.Before(e.fullUntil) || slices.Contains(need.Full, e.ID) || e.Slots > 0 && len(e.generations) >= e.Slots {
+			continue
+		}
+		peak := b.peak(now, e, need.Generation)
+		if e.Capacity > 0 && len(e.generations) > 0 && peak > forecastShare*float64(e.Capacity) {
+			continue
+		}
+		if cost := b.cost(now, e, need, peak); cost < least {
+			best, least = e, cost
+		}
+	}
+	if accepting == 0 {
+		return Placement{}, ErrNone
+	}
+	if best == nil {
+		return Placement{}, ErrBusy
+	}
+	idle := len(best.generations) == 0
+	b.add(now, best, need)
+	placement := Placement{Decode: best.Upstream}
+	b.placePrefill(now, need, best, idle, &placement)
+	return placement, nil
+}
+
+func (b *Book) add(now time.Time, e *bookEngine, need GenerationNeed) {
+	g := need.Generation
+	g.Upstream, g.Incarnation = e.ID, e.Incarnation
+	own := b.byOwner[need.Session]
+	if own == nil {
+		own = map[uint64]*placed{}
+		b.byOwner[need.Session] = own
+	}
+	if old := own[g.ID]; old != nil {
+		b.remove(old)
+	}
+	p := &placed{Generation: g, session: need.Session, engine: e, placedAt: now, outputAt: now}
+	own[g.ID] = p
+	e.generations = append(e.generations, p)
+}
+
+// cost returns the share of the engine's memory that will be used, plus penalties.
+func (b *Book) cost(now time.Time, e *bookEngine, need GenerationNeed, peak float64) float64 {
+	cost := peak / max(1, float64(e.Capacity))
+	if e.FailureDomain != need.FailureDomain {
+		cost += remoteEnginePenalty
+	}
+	if !e.Announcing || now.Sub(e.suspectedAt) < suspectDuration {
+		cost += suspectPenalty
+	}
+	return cost
+}
+
+// placePrefill chooses the prefill engine that processes the prompt first, unless the decode engine is idle or
+// sooner done.
+func (b *Book) placePrefill(now time.Time, need GenerationNeed, decode *bookEngine, idle bool, placement *Placement) {
+	tokens := need.Generation.Prompt
+	took := prefillTime(tokens, b.prefillRate)
+	placement.PrefillTime = prefillTime(tokens, b.prefillRate*decodePrefillFraction)
+	var best *bookEngine
+	var least time.Duration
+	for _, id := range b.ids {
+		e := b.engines[id]
+		if e.Service != need.Service || e.Role != RolePrefill || !e.usable(now) || !e.Announcing || now.Sub(e.suspectedAt) < suspectDuration {
+			continue
+		}
+		delay := max(0, e.busyUntil.Sub(now))
+		if e.FailureDomain != decode.FailureDomain {
+			delay += remotePrefillDelay
+		}
+		if best == nil || delay < least {
+			best, least = e, delay
+		}
+	}
+	if best == nil {
+		return
+	}
+	f := Forecast{
+		Direct: placement.PrefillTime, Split: max(0, best.busyUntil.Sub(now)) + took + TransferOverhead, HasSplit: true, DecodeIdle: idle,
+	}
+	if !f.UsePrefill(need.Target) {
+		return
+	}
+	start := now
+	if best.busyUntil.After(now) {
+		start = best.busyUntil
+	}
+	best.busyUntil = start.Add(took)
+	placement.Prefill, placement.PrefillTime = best.Upstream, f.Split
+}
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -173,6 +173,8 @@
 	Work, Requests int
 	// Ejected is set while the entry sends the upstream no requests because of failures of its own requests.
 	Ejected bool
+	// Engine is set for model engines.
+	Engine bool
 }
 
 // Loads returns the load and the ejections of this entry, to be reported to other entries.
@@ -181,7 +183,7 @@
 	for _, id := range t.ids {
 		s := t.states[id]
 		if ejected := now.Before(s.ejectedUntil); s.ownRequests > 0 || ejected {
-			loads = append(loads, Load{s.ID, s.Incarnation, s.ownWork, s.ownRequests, ejected})
+			loads = append(loads, Load{s.ID, s.Incarnation, s.ownWork, s.ownRequests, ejected, s.Role != RoleAny})
 		}
 	}
 	return loads
@@ -281,6 +283,28 @@
 	return s.Upstream, nil
 }
 
+// Assign adds the work to the load of the given upstream, which another entry has chosen, and reports whether the upstream
+// is known and accepts requests. The caller must call End afterwards.
+func (t *Table) Assign(id string, incarnation uint64, need Need) (Upstream, bool) {
+	s := t.states[id]
+	if s == nil || incarnation != 0 && s.Incarnation != incarnation || s.Service != need.Service || s.Role != need.Role || !s.Accepts {
+		return Upstream{}, false
+	}
+	t.start(s, need)
+	return s.Upstream, true
+}
+
+// Ejected returns the upstreams of a service that this entry sends no requests because of failures.
+func (t *Table) Ejected(now time.Time, service string) []string {
+	var ids []string
+	for _, id := range t.ids {
+		if s := t.states[id]; s.Service == service && now.Before(s.ejectedUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (t *Table) start(s *state, need Need) {
 	t.rotation++
 	s.ownWork += need.Work
--- /dev/null
+++ b/entry/place/queue.go
@@ -0,0 +1,121 @@
+package place
+
+import (
+	"errors"
+	"time"
+)
+
+// Queue holds generations that wait for memory, in the order of their arrival. In a burst, a generation is refused at
+// once if those before it are expected to take the memory that becomes free while it may wait. A Queue is not safe for
+// concurrent use.
+type Queue struct {
+	book    *Book
+	returns map[string]*RetryEstimator
+	waiting []*Waiting
+}
+
+// Waiting is a generation in a queue.
+type Waiting struct {
+	Need GenerationNeed
+	// Until is when the generation is refused, Patience how long its caller waits.
+	Until    time.Time
+	Patience time.Duration
+	// Done receives the result once.
+	Done chan Result
+}
+
+// Result is the result of a request for engines.
+type Result struct {
+	Placement Placement
+	// Err is nil, ErrNone or ErrBusy. RetryAfter is set with ErrBusy.
+	Err        error
+	RetryAfter time.Duration
+}
+
+// NewQueue returns an empty queue of generations that the book places.
+func NewQueue(book *Book) *Queue { return &Queue{book: book, returns: map[string]*RetryEstimator{}} }
+
+// estimator returns the estimator of when refused callers of a service return.
+func (q *Queue) estimator(service string) *RetryEstimator {
+	r := q.returns[service]
+	if r == nil {
+		r = &RetryEstimator{}
+		q.returns[service] = r
+	}
+	return r
+}
+
+// Add places a generation, refuses it, or lets it wait and returns false.
+func (q *Queue) Add(now time.Time, w *Waiting) (Result, bool) {
+	ahead := q.length(w.Need.Service)
+	if ahead == 0 {
+		p, err := q.book.Place(now, w.Need)
+		if !errors.Is(err, ErrBusy) {
+			return Result{Placement: p, Err: err}, true
+		}
+	}
+	rate := max(1, q.estimator(w.Need.Service).completionRate)
+	if now.Add(time.Duration(float64(ahead) / rate * float64(time.Second))).After(w.Until) {
+		return q.refuse(now, w), true
+	}
+	q.waiting = append(q.waiting, w)
+	return Result{}, false
+}
+
+func (q *Queue) length(service string) int {
+	n := 0
+	for _, w := range q.waiting {
+		if w.Need.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *Queue) refuse(now time.Time, w *Waiting) Result {
+	return Result{Err: ErrBusy, RetryAfter: q.estimator(w.Need.Service).RetryDelay(now, w.Need.Target, w.Patience)}
+}
+
+// RecordEnds records that generations of a service ended.
+func (q *Queue) RecordEnds(now time.Time, service string, n int) {
+	for range n {
+		q.estimator(service).RecordCompletion(now)
+	}
+}
+
+// Cancel removes a generation whose caller no longer waits.
+func (q *Queue) Cancel(w *Waiting) {
+	for i, other := range q.waiting {
+		if other == w {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Advance places waiting generations in their order, and refuses those that waited for too long. It sends the results
+// to Done. A generation that does not fit lets no later one of its service pass, unless it excludes engines itself.
+func (q *Queue) Advance(now time.Time) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	blocked := map[string]bool{}
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		service := w.Need.Service
+		if !blocked[service] {
+			if p, err := q.book.Place(now, w.Need); !errors.Is(err, ErrBusy) {
+				w.Done <- Result{Placement: p, Err: err}
+				continue
+			}
+			blocked[service] = len(w.Need.Exclude) == 0 && len(w.Need.Full) == 0
+		}
+		if now.Before(w.Until) {
+			kept = append(kept, w)
+			continue
+		}
+		w.Done <- q.refuse(now, w)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -31,6 +31,14 @@
 	t.prefillRate = min(max(rate, t.prefillRate*prefillRateDecay), t.prefillRate*maxPrefillRateGrowth)
 }
 
+// PrefillRate returns the observed rate of prefill engines in tokens per millisecond, or 0 before the first observation.
+func (t *Table) PrefillRate() float64 {
+	if t.prefillRate == initialPrefillRate {
+		return 0
+	}
+	return t.prefillRate
+}
+
 // Forecast is the expected time to first token of a request that was assigned to a decode engine.
 type Forecast struct {
 	// Direct is the expected time if the decode engine also does the prefill, Split the expected time if a prefill
--- /dev/null
+++ b/entry/usage/place.go
@@ -0,0 +1,121 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/entry/place"
+)
+
+// ErrNoCoordinator means that no coordinator answers, so that the entry has to choose engines itself.
+var ErrNoCoordinator = errors.New("no coordinator answers")
+
+// PlaceNeed describes a generation that needs engines.
+type PlaceNeed struct {
+	Service    string
+	Generation place.Generation
+	// FailureDomain is the failure domain of the entry.
+	FailureDomain string
+	// Exclude lists decode engines that must not be chosen, Full those that refused a reservation.
+	Exclude, Full []string
+	// Wait is how long the generation may wait for memory. Target is the latency target, Patience how long the caller
+	// waits.
+	Wait, Target, Patience time.Duration
+}
+
+// PlaceResult holds the engines of a generation.
+type PlaceResult struct {
+	// Decode and Incarnation identify the decode engine. Prefill is empty if the decode engine processes the prompt.
+	Decode, Prefill string
+	Incarnation     uint64
+	// PrefillTime is the expected time until the prompt is processed.
+	PrefillTime time.Duration
+	// RetryAfter is when the caller should retry. It is set with place.ErrBusy.
+	RetryAfter time.Duration
+}
+
+// Place asks the coordinator for the engines of a generation. Its error is nil, place.ErrBusy, place.ErrNone,
+// ErrNoCoordinator or the cause of the end of the context.
+func (l *Limiter) Place(ctx context.Context, need PlaceNeed) (PlaceResult, error) {
+	own, _ := l.config.Control.SessionID()
+	l.mu.Lock()
+	id := l.current
+	l.mu.Unlock()
+	if id == 0 || own == 0 {
+		return PlaceResult{}, ErrNoCoordinator
+	}
+	request := &fleetpb.PlaceRequest{
+		SessionId: own, Service: need.Service, Generation: generationMessage(need.Generation), FailureDomain: need.FailureDomain,
+		Exclude: need.Exclude, Full: need.Full, WaitMillis: uint32(max(0, need.Wait.Milliseconds())),
+		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
+	}
+	response, err := l.callPlace(ctx, own, id, request, need.Wait)
+	switch {
+	case err == nil:
+		return placeResult(response)
+	case ctx.Err() != nil:
+		return PlaceResult{}, context.Cause(ctx) //nolint:wrapcheck // callers check the cause
+	}
+	l.coordinatorFailed(id)
+	return PlaceResult{}, ErrNoCoordinator
+}
+
+// coordinatorFailed makes the next report choose another coordinator.
+func (l *Limiter) coordinatorFailed(id uint64) {
+	l.avoid(id)
+	l.mu.Lock()
+	if l.current == id {
+		l.current = 0
+	}
+	l.mu.Unlock()
+	l.loads.Observe(id, nil)
+	l.Changed()
+}
+
+// callPlace calls the coordinator. The first response has to arrive within callTimeout, so that a coordinator that has
+// failed is noticed before the generation has waited.
+func (l *Limiter) callPlace(ctx context.Context, own, id uint64, request *fleetpb.PlaceRequest, wait time.Duration) (*fleetpb.PlaceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	if id == own {
+		return l.config.Coordinator.PlaceGeneration(ctx, request, func() error { return nil })
+	}
+	peer := l.config.Control.View().Sessions[id]
+	if peer == nil {
+		return nil, status.Error(codes.Unavailable, "the session of the coordinator has ended")
+	}
+	conn, err := l.peerConn(peer)
+	if err != nil {
+		return nil, err
+	}
+	silence := time.AfterFunc(callTimeout, cancel)
+	defer silence.Stop()
+	stream, err := fleetpb.NewPeerClient(conn).Place(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	response, err := stream.Recv()
+	if err == nil && response.Waiting {
+		silence.Stop()
+		response, err = stream.Recv()
+	}
+	return response, err //nolint:wrapcheck // the error only means that the coordinator failed
+}
+
+func placeResult(r *fleetpb.PlaceResponse) (PlaceResult, error) {
+	switch {
+	case r.Unknown:
+		return PlaceResult{}, place.ErrNone
+	case r.Upstream == "":
+		return PlaceResult{RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond}, place.ErrBusy
+	}
+	return PlaceResult{
+		Decode: r.Upstream, Incarnation: r.Incarnation, Prefill: r.Prefill,
+		PrefillTime: time.Duration(r.PrefillMillis) * time.Millisecond,
+	}, nil
+}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -1,5 +1,5 @@
-// Package usage limits customers across all entries. It exchanges reports of what each entry admitted, and package limit
-// decides on requests.
+// Package usage connects an entry to the coordinator of the fleet. It reports what the entry uses, learns what the others
+// use, and asks for the engines of generations. Package limit decides on requests.
 package usage
 
 import (
@@ -9,27 +9,35 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/phuslu/log"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"azuredoor.example/core/config"
+	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/core/fleetrpc"
 	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/coordinator"
 	"azuredoor.example/entry/limit"
 	"azuredoor.example/entry/place"
 	"azuredoor.example/entry/retry"
 )
 
 const (
-	// exchangeInterval is the time between two reports to a peer in a small fleet. Tokens that entries admit beyond a limit
-	// in this time are paid back later, so the interval only bounds the excess within one window.
-	exchangeInterval = 200 * time.Millisecond
-	// exchangeIntervalPerPeer lengthens the interval with the number of peers, so that an entry handles at most a few
-	// reports per 8 ms.
-	exchangeIntervalPerPeer = 8 * time.Millisecond
-	// callTimeout bounds one exchange. A connection whose peer does not respond in time is closed and dialed again.
-	callTimeout = 300 * time.Millisecond
+	// idleFactor lengthens the report interval of an entry without requests.
+	idleFactor = 2
+	// minKickPause is the shortest time between two reports, so that several ends of generations share one.
+	minKickPause = 20 * time.Millisecond
+	// callTimeout bounds one report and the first response to a placement.
+	callTimeout = 200 * time.Millisecond
+	// minAvoidance is how long a coordinator that failed is not asked again. It doubles with each failure up to
+	// maxAvoidance.
+	minAvoidance = time.Second
+	maxAvoidance = 8 * time.Second
+	// maxCandidates bounds the coordinators that one report tries.
+	maxCandidates = 3
 )
 
 // Control provides the view and the session of this entry.
@@ -39,21 +47,14 @@
 	SessionID() (uint64, bool)
 }
 
-// Limiter admits requests within customers' limits. It is safe for concurrent use.
-type Limiter struct {
-	fleetpb.UnimplementedPeerServer
-
-	control Control
-	dialer  fleetrpc.Dialer
-	loads   Loads
-
-	mu    sync.Mutex
-	meter *limit.Meter
-	view  *control.View
-	conns map[uint64]*grpc.ClientConn
+// Coordinator is the coordinator in this process. It is used while this entry has the oldest session.
+type Coordinator interface {
+	Report(ctx context.Context, report *fleetpb.UseReport) (*fleetpb.FleetUse, error)
+	PlaceGeneration(ctx context.Context, r *fleetpb.PlaceRequest, waiting func() error) (*fleetpb.PlaceResponse, error)
 }
 
-// Loads provides the loads, retries and demands that reports carry, and observes those of peers.
+// Loads provides the loads, retries, demands and generations that reports carry, and observes those of the other entries.
+// The other entries appear as one peer, under the session of the coordinator.
 type Loads interface {
 	Loads() []place.Load
 	Observe(session uint64, loads []place.Load)
@@ -62,18 +63,61 @@
 	// Demands returns the total demand of this entry's generations on engines, by service.
 	Demands() map[string]place.DemandTotal
 	ObserveDemands(session uint64, totals map[string]place.DemandTotal)
+	// Generations returns the generations of this entry on decode engines.
+	Generations() []place.Generation
+	// PrefillRate returns the observed rate of prefill engines in tokens per millisecond, or 0.
+	PrefillRate() float64
+}
+
+// Config configures a Limiter.
+type Config struct {
+	Control     Control
+	Dialer      fleetrpc.Dialer
+	Coordinator Coordinator
+	Events      *event.Logger
+	// Changing returns the engines, with their incarnations, that this entry has ordered to change their role; nil for none.
+	Changing func() map[string]uint64
+}
+
+// Limiter admits requests within customers' limits, and places generations. It is safe for concurrent use.
+type Limiter struct {
+	config Config
+	loads  Loads
+	kick   chan struct{}
+
+	mu    sync.Mutex
+	meter *limit.Meter
+	conns map[uint64]*grpc.ClientConn
+	// avoided holds the coordinators that failed.
+	avoided map[uint64]avoidance
+	// current is the session of the coordinator that answered the last report, or 0.
+	current uint64
+	// touched is set when a request has used a limit since the last report.
+	touched bool
+}
+
+type avoidance struct {
+	until    time.Time
+	duration time.Duration
 }
 
 // New returns a limiter without loads; see SetLoads. Run exchanges its reports.
-func New(c Control, dialer fleetrpc.Dialer) *Limiter {
-	return &Limiter{control: c, dialer: dialer, meter: limit.NewMeter(), conns: map[uint64]*grpc.ClientConn{}}
+func New(c Config) *Limiter {
+	return &Limiter{
+		config: c, meter: limit.NewMeter(), conns: map[uint64]*grpc.ClientConn{}, avoided: map[uint64]avoidance{},
+		kick: make(chan struct{}, 1),
+	}
 }
 
+// SetLoads sets the source of the loads in reports. It must be called before Run.
+func (l *Limiter) SetLoads(loads Loads) { l.loads = loads }
+
 // Take reports whether a request of a customer is admitted, and charges its tokens if so. Otherwise, Take returns the time
 // after which to retry.
 func (l *Limiter) Take(bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.touched = true
 	return l.meter.Take(time.Now(), bucket, bucketLimit, tokens)
 }
 
@@ -84,95 +128,167 @@
 	l.meter.Refund(time.Now(), bucket, bucketLimit, tokens)
 }
 
-// SetLoads sets the source of the loads in reports. It must be called before Run.
-func (l *Limiter) SetLoads(loads Loads) { l.loads = loads }
+// Changed makes the next report happen soon. It is called when a generation has ended.
+func (l *Limiter) Changed() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
 
-// Run exchanges reports until the context ends.
+// Run reports to the coordinator until the context ends.
 func (l *Limiter) Run(ctx context.Context) error {
 	defer l.close()
 	for ctx.Err() == nil {
-		peers := l.updatePeers()
+		l.report(ctx)
+		timer := time.NewTimer(l.interval())
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-time.After(max(exchangeInterval, time.Duration(len(peers))*exchangeIntervalPerPeer)):
-		}
-		var group errgroup.Group
-		for _, peer := range peers {
-			group.Go(func() error {
-				l.exchangeReports(ctx, peer)
-				return nil
-			})
+		case <-timer.C:
+		case <-l.kick:
+			select {
+			case <-ctx.Done():
+			case <-time.After(minKickPause):
+			}
 		}
-		_ = group.Wait()
+		timer.Stop()
 	}
 	return nil
 }
 
-// updatePeers applies the current view and returns the sessions of the other entries.
-func (l *Limiter) updatePeers() []*fleetpb.Session {
-	view := l.control.View()
-	own, _ := l.control.SessionID()
+// interval returns the time until the next report.
+func (l *Limiter) interval() time.Duration {
+	interval := coordinator.ReportInterval(len(l.config.Control.View().Sessions))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.touched {
+		interval *= idleFactor
+	}
+	l.touched = false
+	return interval
+}
+
+// candidates returns the sessions that may coordinate, in the order of preference. Coordinators that failed come last.
+func (l *Limiter) candidates(now time.Time, view *control.View) []uint64 {
+	ids := make([]uint64, 0, len(view.Sessions))
+	for id := range view.Sessions {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var peers []*fleetpb.Session
-	var ids []uint64
-	for id, session := range view.Sessions {
-		if id != own {
-			peers = append(peers, session)
-			ids = append(ids, id)
+	for id := range l.avoided {
+		if view.Sessions[id] == nil {
+			delete(l.avoided, id)
 		}
 	}
-	if view != l.view {
-		l.view = view
-		l.meter.SetPeers(time.Now(), ids)
-		for id, conn := range l.conns {
-			if !slices.Contains(ids, id) {
-				// The connection is discarded, so an error of Close does not matter.
-				_ = conn.Close()
-				delete(l.conns, id)
-			}
+	l.closeOthers(view)
+	var preferred, avoided []uint64
+	for _, id := range ids {
+		if now.Before(l.avoided[id].until) {
+			avoided = append(avoided, id)
+		} else {
+			preferred = append(preferred, id)
 		}
 	}
-	return peers
+	return append(preferred, avoided...)
 }
 
-func (l *Limiter) exchangeReports(ctx context.Context, peer *fleetpb.Session) {
-	conn, err := l.peerConn(peer)
-	if err != nil {
+// report reports to the first coordinator that answers.
+func (l *Limiter) report(ctx context.Context) {
+	view := l.config.Control.View()
+	own, ok := l.config.Control.SessionID()
+	if !ok || view.Sessions[own] == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := fleetpb.NewPeerClient(conn).ExchangeUse(ctx, l.localReport())
-	if err == nil && report.SessionId != peer.Id {
-		err = errSessionMismatch
+	l.mu.Lock()
+	l.meter.SetEntries(len(view.Sessions))
+	l.meter.Silence = coordinator.Silence(len(view.Sessions))
+	l.mu.Unlock()
+	candidates := l.candidates(time.Now(), view)
+	for _, id := range candidates[:min(len(candidates), maxCandidates)] {
+		err := l.reportTo(ctx, view, own, id)
+		switch {
+		case err == nil:
+			l.setCurrent(id, nil)
+			return
+		case ctx.Err() != nil || status.Code(err) == codes.FailedPrecondition:
+			// The coordinator has an older view without this session.
+			return
+		}
+		l.avoid(id)
 	}
-	if err != nil {
-		// The meter assumes a use for a silent peer until a later exchange reports the actual use.
-		l.closeConn(peer.Id, conn)
-		l.loads.Observe(peer.Id, nil)
+	l.setCurrent(0, errNoCoordinator)
+}
+
+// errNoCoordinator means that none of the candidates answered.
+var errNoCoordinator = errors.New("no coordinator responds")
+
+// setCurrent records which coordinator answered.
+func (l *Limiter) setCurrent(id uint64, err error) {
+	l.mu.Lock()
+	previous := l.current
+	l.current = id
+	if err == nil {
+		delete(l.avoided, id)
+	}
+	l.mu.Unlock()
+	if previous == id {
 		return
 	}
-	l.applyReport(peer.Id, report)
+	if previous != 0 {
+		// The loads of the other entries now come from another coordinator.
+		l.loads.Observe(previous, nil)
+	}
+	l.config.Events.Write(event.CoordinatorChanged, func(e *log.Entry) { e.Uint64("before", previous).Uint64("session", id).Err(err) })
 }
 
-// errSessionMismatch means that the peer responded with another session: a restarted entry has the address now. Its report
-// counts only under its new session.
-var errSessionMismatch = errors.New("the address belongs to another session")
+// avoid makes other coordinators preferred for some time.
+func (l *Limiter) avoid(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	duration := min(max(minAvoidance, 2*l.avoided[id].duration), maxAvoidance)
+	l.avoided[id] = avoidance{until: time.Now().Add(duration), duration: duration}
+	if conn := l.conns[id]; conn != nil {
+		delete(l.conns, id)
+		// The connection is discarded, so an error of Close does not matter.
+		_ = conn.Close()
+	}
+}
 
-// ExchangeUse implements fleetpb.PeerServer. It ignores the report of a session that has ended or is not known yet.
-func (l *Limiter) ExchangeUse(_ context.Context, report *fleetpb.UseReport) (*fleetpb.UseReport, error) {
-	l.updatePeers()
-	if l.control.View().Sessions[report.SessionId] != nil {
-		l.applyReport(report.SessionId, report)
+func (l *Limiter) reportTo(ctx context.Context, view *control.View, own, id uint64) error {
+	l.mu.Lock()
+	uses := l.meter.Report(time.Now())
+	l.mu.Unlock()
+	report := l.localReport(own, uses)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var response *fleetpb.FleetUse
+	var err error
+	if id == own {
+		response, err = l.config.Coordinator.Report(ctx, report)
+	} else {
+		var conn *grpc.ClientConn
+		if conn, err = l.peerConn(view.Sessions[id]); err != nil {
+			return err
+		}
+		response, err = fleetpb.NewPeerClient(conn).Report(ctx, report)
+	}
+	if err != nil {
+		return err
 	}
-	return l.localReport(), nil
+	if response.SessionId != id {
+		return errSessionMismatch
+	}
+	l.apply(view, uses, response)
+	return nil
 }
 
-func (l *Limiter) localReport() *fleetpb.UseReport {
-	own, _ := l.control.SessionID()
-	report := &fleetpb.UseReport{SessionId: own}
+// errSessionMismatch means that the peer responded with another session: a restarted entry has the address now.
+var errSessionMismatch = errors.New("the address belongs to another session")
+
+func (l *Limiter) localReport(own uint64, uses []limit.Use) *fleetpb.UseReport {
+	report := &fleetpb.UseReport{SessionId: own, PrefillRate: uint32(l.loads.PrefillRate() * 1000)}
 	for _, load := range l.loads.Loads() {
 		report.Upstreams = append(report.Upstreams, &fleetpb.UpstreamUse{
 			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests), Ejected: load.Ejected,
@@ -186,37 +302,51 @@
 			Service: service, Generations: d.Generations, PromptTokens: d.PromptTokens, Room: d.MemoryMillis,
 		})
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, u := range l.meter.Report(time.Now()) {
-		report.Customers = append(report.Customers, &fleetpb.CustomerUse{Customer: u.Bucket, Tokens: u.Tokens, Level: int64(u.Level)})
+	for _, g := range l.loads.Generations() {
+		report.Generations = append(report.Generations, generationMessage(g))
+	}
+	if l.config.Changing != nil {
+		for id, incarnation := range l.config.Changing() {
+			report.Changing = append(report.Changing, &fleetpb.UpstreamRef{Id: id, Incarnation: incarnation})
+		}
+	}
+	for _, u := range uses {
+		report.Customers = append(report.Customers, &fleetpb.CustomerUse{Customer: u.Bucket, Tokens: u.Tokens, Level: int64(u.Level), Acknowledged: u.Acknowledged})
 	}
 	return report
 }
 
-func (l *Limiter) applyReport(session uint64, report *fleetpb.UseReport) {
-	uses := make([]limit.Use, 0, len(report.Customers))
-	for _, c := range report.Customers {
-		uses = append(uses, limit.Use{Bucket: c.Customer, Tokens: c.Tokens, Level: float64(c.Level)})
+func generationMessage(g place.Generation) *fleetpb.Generation {
+	return &fleetpb.Generation{
+		Id: g.ID, Upstream: g.Upstream, Incarnation: g.Incarnation, PromptTokens: uint32(max(0, g.Prompt)),
+		OutputTokens: uint32(max(0, g.Output)), ExpectedTokens: uint32(max(0, g.Expected)),
 	}
-	loads := make([]place.Load, 0, len(report.Upstreams))
-	for _, u := range report.Upstreams {
+}
+
+// apply applies the coordinator's response to a report of the given uses.
+func (l *Limiter) apply(view *control.View, reported []limit.Use, response *fleetpb.FleetUse) {
+	loads := make([]place.Load, 0, len(response.Upstreams))
+	for _, u := range response.Upstreams {
 		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests), Ejected: u.Ejected})
 	}
-	l.loads.Observe(session, loads)
-	totals := make([]retry.Total, 0, len(report.Services))
-	for _, s := range report.Services {
+	l.loads.Observe(response.SessionId, loads)
+	totals := make([]retry.Total, 0, len(response.Services))
+	for _, s := range response.Services {
 		totals = append(totals, retry.Total{Service: s.Service, Requests: s.Requests, Retries: s.Retries})
 	}
-	l.loads.ObserveRetries(session, totals)
+	l.loads.ObserveRetries(response.SessionId, totals)
 	demands := map[string]place.DemandTotal{}
-	for _, d := range report.Demands {
+	for _, d := range response.Demands {
 		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, MemoryMillis: d.Room}
 	}
-	l.loads.ObserveDemands(session, demands)
+	l.loads.ObserveDemands(response.SessionId, demands)
+	levels := make([]limit.Use, 0, len(response.Customers))
+	for _, c := range response.Customers {
+		levels = append(levels, limit.Use{Bucket: c.Customer, Level: float64(c.Level)})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.meter.Observe(time.Now(), session, uses, l.control.View().Limit)
+	l.meter.Confirm(time.Now(), reported, levels, view.Limit)
 }
 
 func (l *Limiter) peerConn(peer *fleetpb.Session) (*grpc.ClientConn, error) {
@@ -225,7 +355,7 @@
 	if conn := l.conns[peer.Id]; conn != nil {
 		return conn, nil
 	}
-	conn, err := l.dialer.Dial(peer.PeerAddress)
+	conn, err := l.config.Dialer.Dial(peer.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -233,14 +363,15 @@
 	return conn, nil
 }
 
-func (l *Limiter) closeConn(session uint64, conn *grpc.ClientConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conns[session] == conn {
-		delete(l.conns, session)
+// closeOthers closes the connections to entries whose sessions have ended. The caller must hold l.mu.
+func (l *Limiter) closeOthers(view *control.View) {
+	for id, conn := range l.conns {
+		if view.Sessions[id] == nil {
+			// The connection is discarded, so an error of Close does not matter.
+			_ = conn.Close()
+			delete(l.conns, id)
+		}
 	}
-	// The connection is discarded, so an error of Close does not matter.
-	_ = conn.Close()
 }
 
 func (l *Limiter) close() {
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -34,6 +34,8 @@
 	need     place.Need
 	// expectedOutput is the expected number of output tokens.
 	expectedOutput int
+	// generation is the current generation on a decode engine; its ID is 0 without one.
+	generation place.Generation
 
 	chargedTokens int64
 	// possibleRuns counts the attempts that may have run. writtenAttempts counts all attempts that were written to an
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,14 +14,15 @@
 	"azuredoor.example/core/config"
 	"azuredoor.example/core/document"
 	"azuredoor.example/core/event"
-	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/core/metric"
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
+	"azuredoor.example/entry/coordinator"
 	"azuredoor.example/entry/http1"
 	"azuredoor.example/entry/order"
 	"azuredoor.example/entry/place"
 	"azuredoor.example/entry/retry"
+	"azuredoor.example/entry/usage"
 )
 
 // Limiter charges customers' token buckets.
@@ -39,12 +41,22 @@
 	Age() time.Duration
 }
 
+// Placer chooses the engines of generations for all entries.
+type Placer interface {
+	// Place returns the engines, or one of the errors that usage.Limiter documents.
+	Place(ctx context.Context, need usage.PlaceNeed) (usage.PlaceResult, error)
+	// Changed is called when a generation has ended.
+	Changed()
+}
+
 // Config configures a Router.
 type Config struct {
 	Codec   Codec
 	Control Control
 	Limiter Limiter
-	Pool    *conn.Pool
+	// Placer is nil if the entry chooses engines itself.
+	Placer Placer
+	Pool   *conn.Pool
 	// FailureDomain is the failure domain of this VM.
 	FailureDomain string
 	// FreshFor is the maximum age of the view at which access keys are accepted.
@@ -74,10 +86,14 @@
 	demands map[string]*place.Demand
 	// retryEstimators holds, by service, the estimator of when callers that were refused for lack of capacity retry.
 	retryEstimators map[string]*place.RetryEstimator
+	// generations holds the generations of this entry on decode engines.
+	generations *generations
 	// changed is closed and replaced when an attempt ends or the upstreams or their loads change.
 	changed chan struct{}
 	// entryCount is the number of entries in the view, at least 1.
 	entryCount int
+	// othersReport is set once the coordinator has reported the retries of the other entries.
+	othersReport bool
 	// started is when the process started.
 	started time.Time
 
@@ -89,32 +105,18 @@
 func New(c Config) *Router {
 	return &Router{
 		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
-		outputLengths: map[string]float64{}, retryEstimators: map[string]*place.RetryEstimator{}, demands: map[string]*place.Demand{}, changed: make(chan struct{}), entryCount: 1, started: time.Now(),
+		outputLengths: map[string]float64{}, retryEstimators: map[string]*place.RetryEstimator{}, demands: map[string]*place.Demand{},
+		generations: newGenerations(), changed: make(chan struct{}), entryCount: 1, started: time.Now(),
 	}
 }
 
 // OnChange updates the upstreams from a new view.
 func (r *Router) OnChange(view *control.View) {
-	upstreams := make([]place.Upstream, 0, len(view.Upstreams))
-	for _, u := range view.Upstreams {
-		if u.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN && removed(view, u) {
-			continue
-		}
-		upstream := place.Upstream{
-			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
-			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
-			Capacity: int(u.Slots) * requestsPerSlot,
+	upstreams := coordinator.Upstreams(view)
+	for i, u := range upstreams {
+		if u.Role == place.RoleDecode {
+			upstreams[i].Capacity = int(float64(u.Capacity) * memoryShareFor(len(view.Sessions)))
 		}
-		if view.Document != nil {
-			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
-				upstream.Capacity = int(float64(s.Engine.CacheTokens) * memoryShareFor(len(view.Sessions)))
-				upstream.Slots = s.Engine.Slots
-				if upstream.Role == place.RolePrefill {
-					upstream.Capacity, upstream.Slots = 0, 0
-				}
-			}
-		}
-		upstreams = append(upstreams, upstream)
 	}
 	r.logChanges(view)
 	r.mu.Lock()
@@ -133,9 +135,6 @@
 }
 
 const (
-	// requestsPerSlot is how many requests per slot a plain upstream gets before further requests wait in the router.
-	// Upstreams queue a few more requests than they run.
-	requestsPerSlot = 3
 	// engineMemoryShare is the share of an engine's KV-cache memory in which requests are placed. The rest is headroom
 	// for generations that grow longer than expected: an engine out of memory preempts a request and recomputes it.
 	engineMemoryShare = 0.93
@@ -151,23 +150,6 @@
 	return max(minMemoryShare, engineMemoryShare-entryHeadroomShare*float64(max(0, entries-1)))
 }
 
-// removed reports whether an upstream that is down will not come back: it has withdrawn, or another upstream has its
-// address.
-func removed(view *control.View, u *fleetpb.Upstream) bool {
-	if u.Sequence == withdrawn {
-		return true
-	}
-	for _, other := range view.Upstreams {
-		if other.Id != u.Id && other.Address == u.Address && other.State != fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
-			return true
-		}
-	}
-	return false
-}
-
-// withdrawn is the sequence number of an upstream that has withdrawn for good.
-const withdrawn = ^uint64(0)
-
 // notifyWaiters wakes the requests that wait for an upstream. The caller must hold r.mu.
 func (r *Router) notifyWaiters() {
 	close(r.changed)
@@ -183,7 +165,16 @@
 func (r *Router) allowRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.entryCount)
+	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.budgetEntries())
+}
+
+// budgetEntries returns the number of entries that the retry budget counts. The other entries report as one. The caller
+// must hold r.mu.
+func (r *Router) budgetEntries() int {
+	if r.othersReport {
+		return min(r.entryCount, 2)
+	}
+	return r.entryCount
 }
 
 func (r *Router) countRequest(service string) {
@@ -235,13 +226,24 @@
 	}
 }
 
-// Loads implements usage.Loads.
+// Loads implements usage.Loads. It leaves out engines, unless this entry has ejected them, because the coordinator knows
+// their generations.
 func (r *Router) Loads() []place.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Loads(time.Now())
+	return slices.DeleteFunc(r.table.Loads(time.Now()), func(l place.Load) bool { return l.Engine && !l.Ejected })
 }
 
+// PrefillRate implements usage.Loads.
+func (r *Router) PrefillRate() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.PrefillRate()
+}
+
+// Generations implements usage.Loads.
+func (r *Router) Generations() []place.Generation { return r.generations.list() }
+
 // Observe implements usage.Loads.
 func (r *Router) Observe(session uint64, loads []place.Load) {
 	r.mu.Lock()
@@ -313,6 +315,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.othersReport = true
 	for _, t := range totals {
 		r.budget(t.Service).AddPeerTotals(now, session, t.Requests, t.Retries)
 	}
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -133,6 +133,7 @@
 		q.possibleRuns++
 		q.mayHaveRun = true
 	}
+	q.endGeneration()
 	q.router.endAttempt(s.upstream, s.need, s.outcome)
 	q.trace.addAttempt(s)
 }
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -120,66 +120,69 @@
 }
 
 // openStream places the request on a decode engine and sends it there, after a prefill on a separate engine if the
-// forecast favours the separate engine. The decode engine is chosen first, so that no prompt is processed without memory
-// for the generation.
+// placement names one. The decode engine is chosen first, so that no prompt is processed without memory for the
+// generation.
 func (q *request) openStream(lastID string, promptSent bool, unusedPrefill *Forwarding) (*attempt, *refusal) {
 	f := Forwarding{LastEvent: lastID}
-	u, failed, refused := q.reserveDecodeEngine(&f)
+	p, failed, refused := q.reserveDecodeEngine(&f)
 	if failed != nil || refused != nil {
 		return failed, refused
 	}
-	forecast := q.router.forecast(u, q.need, q.call.PromptTokens)
-	target := q.route.Target
+	expected, usePrefill := p.prefillTime, p.prefill != ""
+	if !p.coordinated {
+		forecast := q.router.forecast(p.decode, q.need, q.call.PromptTokens)
+		usePrefill = !promptSent && forecast.UsePrefill(q.route.Target) || promptSent && forecast.HasSplit
+		expected = forecast.Best(q.route.Target)
+	}
 	switch {
 	case unusedPrefill.Handle != "" && time.Since(q.prefilledAt) < q.handleLifetime():
 		// The previous decode engine was unreachable or did not run the request, so the prefill's result may still exist.
 		f.Source, f.Handle = unusedPrefill.Source, unusedPrefill.Handle
-		forecast.HasSplit = true
 	case q.prefillAddress != "":
 		// The prefill engine may still have the prompt's KV cache, but no longer under the handle.
 		f.Fetch = q.prefillAddress
-	case !promptSent && forecast.UsePrefill(target), promptSent && forecast.HasSplit:
-		f.Source, f.Handle = q.prefill(forecast)
-		forecast.HasSplit = f.Handle != ""
+	case usePrefill:
+		f.Source, f.Handle = q.prefill(p.prefill, expected)
 	}
-	expected := forecast.Best(target)
 	if f.Handle != "" {
 		expected = place.TransferOverhead
 	}
-	s := q.sendTo(u, q.need, f, q.firstEventTimeout(expected), true)
+	s := q.sendTo(p.decode, q.need, f, q.firstEventTimeout(expected), true)
 	*unusedPrefill = Forwarding{}
 	if !s.written || s.outcome == place.Refused {
 		*unusedPrefill = f
-		q.releaseReservation(u.Address, f.Reservation)
+		q.releaseReservation(p.decode.Address, f.Reservation)
 	}
 	return s, nil
 }
 
-// reserveDecodeEngine picks a decode engine and reserves memory on it for the request. If the reservation fails for a
+// reserveDecodeEngine finds a decode engine and reserves memory on it for the request. If the reservation fails for a
 // reason other than lack of memory, the engine is returned as a failed attempt.
-func (q *request) reserveDecodeEngine(f *Forwarding) (u place.Upstream, failed *attempt, refused *refusal) {
+func (q *request) reserveDecodeEngine(f *Forwarding) (p placement, failed *attempt, refused *refusal) {
 	until, maxCalls := q.x.Arrived.Add(time.Duration(float64(q.route.Target)*reserveWaitShare)), maxReserves
 	if q.mayHaveRun {
 		// The caller may have part of the response, which is lost unless an engine takes over before the caller disconnects.
 		until, maxCalls = time.Now().Add(resumeWaitFactor*q.route.Target), maxResumeReserves
 	}
+	var full []string
 	for range maxCalls {
-		u, err := q.router.pick(q.ctx, q.need, until)
-		if err != nil {
-			return u, nil, q.unavailableRefusal(err)
+		p, refused = q.findEngines(until, full)
+		if refused != nil {
+			return p, nil, refused
 		}
-		s := &attempt{upstream: u, need: q.need, began: time.Now()}
-		f.Reservation, s.outcome, s.err = q.reserve(u)
+		s := &attempt{upstream: p.decode, need: q.need, began: time.Now()}
+		f.Reservation, s.outcome, s.err = q.reserve(p.decode)
 		switch s.outcome {
 		case place.Served:
-			return u, nil, nil
+			return p, nil, nil
 		case place.Full:
+			full = append(full, p.decode.ID)
 			q.recordAttempt(s)
 		default:
-			return u, s, nil
+			return p, s, nil
 		}
 	}
-	return u, nil, q.unavailableRefusal(place.ErrBusy)
+	return p, nil, q.unavailableRefusal(place.ErrBusy)
 }
 
 func (r *Router) forecast(u place.Upstream, need place.Need, prompt int) place.Forecast {
@@ -198,13 +201,14 @@
 	return left
 }
 
-// prefill runs the prefill on a prefill engine. If the prefill fails, prefill returns empty strings, and the decode
-// engine processes the prompt itself.
-func (q *request) prefill(forecast place.Forecast) (source, handle string) {
+// prefill runs the prefill on the given prefill engine, or on another one if it is empty or fails. If the prefill fails,
+// prefill returns empty strings, and the decode engine processes the prompt itself.
+func (q *request) prefill(engine string, expected time.Duration) (source, handle string) {
 	need := q.need
 	need.Role, need.Work, need.Exclude = place.RolePrefill, max(1, q.call.PromptTokens), nil
 	for range maxPrefills {
-		s := q.tryPrefill(&need, forecast)
+		s := q.tryPrefill(&need, engine, expected)
+		engine = ""
 		if s == nil {
 			return "", ""
 		}
@@ -220,16 +224,21 @@
 	return source, handle
 }
 
-// tryPrefill sends the prompt to one prefill engine. It returns nil if no engine is available.
-func (q *request) tryPrefill(need *place.Need, forecast place.Forecast) *attempt {
-	u, err := q.router.pick(q.ctx, *need, time.Now())
-	if err != nil {
-		return nil
+// tryPrefill sends the prompt to the given prefill engine, or to the best one if it is empty. It returns nil if no engine is
+// available.
+func (q *request) tryPrefill(need *place.Need, engine string, expected time.Duration) *attempt {
+	u, assigned := q.router.assign(engine, 0, *need)
+	if !assigned {
+		var err error
+		if u, err = q.router.pick(q.ctx, *need, time.Now()); err != nil {
+			return nil
+		}
 	}
 	need.Exclude = append(need.Exclude, u.ID)
-	bound := min(max(time.Millisecond, time.Until(q.deadline)), 3*forecast.Split+prefillSlack)
+	bound := min(max(time.Millisecond, time.Until(q.deadline)), 3*expected+prefillSlack)
 	s := q.sendTo(u, *need, Forwarding{Prefill: true}, bound, false)
 	if s.err == nil && s.outcome == place.Served && s.response.StatusCode() == fasthttp.StatusOK {
+		var err error
 		if s.handle, err = q.router.config.Codec.ReadHandle(s.response.Body()); err != nil {
 			s.outcome, s.err = place.Broken, err
 		}
@@ -329,6 +338,10 @@
 		return
 	}
 	needed := q.call.PromptTokens + q.trace.events*service.Engine.EventTokens
+	if g := q.generation; g.ID != 0 {
+		g.Prompt, g.Output = q.call.PromptTokens, q.trace.events*service.Engine.EventTokens
+		q.router.generations.put(g)
+	}
 	if extra := needed - s.need.Work; extra > 0 {
 		s.need.Work += extra
 		q.router.addWork(s.upstream, extra)
