Expected output from all entries, probes of failed engines, and a queue for late callers

Change: averages come from all entries; the speed of prefills is a rate and a delay; the coordinator lets one generation at a time try an engine that failed; callers whose target has passed wait up to 2.5 times the target behind all others; a coordinator is given up after 650 ms of silence, and keeps coordinating while the control group has no leader; generations that nobody coordinates reserve twice their expected output.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -32,7 +32,7 @@
 // Control provides the view and the session of this entry.
 type Control interface {
 	View() *control.View
-	// SessionID returns the session of this entry, and false while there is none.
+	// SessionID returns the last session of this entry, or 0, and whether its lease is valid.
 	SessionID() (uint64, bool)
 }
 
@@ -95,11 +95,11 @@
 
 // ready returns the session of this entry, or an error if it does not coordinate. The caller must hold c.mu.
 func (c *Coordinator) ready(now time.Time) (uint64, error) {
-	own, ok := c.control.SessionID()
+	own, _ := c.control.SessionID()
 	switch {
 	case c.resigned:
 		return 0, errResigned
-	case !ok:
+	case own == 0:
 		return 0, errNoSession
 	}
 	if view := c.control.View(); view != c.view {
@@ -170,7 +170,7 @@
 	for _, u := range report.Changing {
 		c.book.Changing(now, u.Id, u.Incarnation)
 	}
-	c.book.ObservePrefillRate(float64(report.PrefillRate) / 1000)
+	c.book.ObservePrefillSpeed(float64(report.PrefillRate)/1000, milliseconds(report.PrefillDelayMillis))
 	c.queue.Advance(now)
 }
 
@@ -200,7 +200,7 @@
 			Session: r.SessionId, Service: r.Service, Generation: generation(r.Generation), FailureDomain: r.FailureDomain,
 			Exclude: r.Exclude, Full: r.Full, Target: milliseconds(r.TargetMillis),
 		},
-		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Done: make(chan place.Result, 1),
+		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Late: r.Late, Done: make(chan place.Result, 1),
 	}
 	result, done, err := c.enqueue(now, w)
 	if err != nil {
--- a/entry/coordinator/sums.go
+++ b/entry/coordinator/sums.go
@@ -16,7 +16,7 @@
 }
 
 // counts holds counters that never decrease, in the order of the fields of a message.
-type counts [3]uint64
+type counts [4]uint64
 
 func (c counts) plus(other counts) counts {
 	for i := range c {
@@ -89,12 +89,12 @@
 		response.Services = append(response.Services, &fleetpb.ServiceUse{Service: service, Requests: others[0], Retries: others[1]})
 	}
 	for _, d := range report.Demands {
-		add(s.demands, e.demands, d.Service, counts{d.Generations, d.PromptTokens, d.Room})
+		add(s.demands, e.demands, d.Service, counts{d.Generations, d.PromptTokens, d.Room, d.OutputTokens})
 	}
 	for service, sum := range s.demands {
 		others := sum.since(e.added(e.demands, service))
 		response.Demands = append(response.Demands, &fleetpb.ServiceDemand{
-			Service: service, Generations: others[0], PromptTokens: others[1], Room: others[2],
+			Service: service, Generations: others[0], PromptTokens: others[1], Room: others[2], OutputTokens: others[3],
 		})
 	}
 	response.Upstreams = s.otherUpstreams(now, report)
--- a/entry/place/book.go
+++ b/entry/place/book.go
@@ -60,6 +60,12 @@
 	rateWeight = 0.05
 	// changingLifetime is how long a reported change of role counts: a few report intervals.
 	changingLifetime = 2 * time.Second
+	// initialSuspicion is how long an engine that an entry has ejected gets nothing. It doubles up to maxSuspicion.
+	initialSuspicion = 500 * time.Millisecond
+	maxSuspicion     = 4 * time.Second
+	// probeDuration is how long an engine that has failed gets nothing else after a probe. An engine that does not respond is
+	// noticed within it.
+	probeDuration = 2 * time.Second
 	// suspectPenalty makes an engine that an entry has ejected the last choice.
 	suspectPenalty = 10
 )
@@ -75,8 +81,10 @@
 	ids     []string
 	// byOwner holds the generations by session and ID.
 	byOwner map[uint64]map[uint64]*placed
-	// prefillRate is the rate of prefill engines, in tokens per millisecond.
-	prefillRate float64
+	// prefillRate is the rate of prefill engines, in tokens per millisecond. prefillDelay is the time that a prefill takes
+	// beyond that, in which the engine processes other prompts.
+	prefillRate  float64
+	prefillDelay time.Duration
 	// tokenTime is the average time per output token, or 0 before the first observation.
 	tokenTime time.Duration
 }
@@ -87,11 +95,35 @@
 	// busyUntil is when a prefill engine has processed the prompts that were placed on it.
 	busyUntil time.Time
 	fullUntil time.Time
-	// suspectedAt is when an entry last reported an ejection, changingAt when the sender of orders last reported that the
-	// engine is about to change its role.
-	suspectedAt, changingAt time.Time
+	// suspectedUntil is when an engine that an entry has ejected may be tried again. probing is set while one generation or
+	// prompt tries it. failures counts the times that it was suspected since it last responded.
+	suspectedUntil time.Time
+	probing        bool
+	failures       int
+	// changingAt is when the sender of orders last reported that the engine is about to change its role.
+	changingAt time.Time
 }
 
+// suspect reports whether the engine has failed and has not responded since.
+func (e *bookEngine) suspect(now time.Time) bool {
+	if e.probing && !now.Before(e.suspectedUntil) {
+		// The probe has not failed.
+		e.recovered()
+	}
+	return now.Before(e.suspectedUntil)
+}
+
+// probe records that a generation or a prompt was placed on the engine. If the engine has failed, the next one waits for
+// the outcome.
+func (e *bookEngine) probe(now time.Time) {
+	if e.failures > 0 && !e.probing {
+		e.probing, e.suspectedUntil = true, now.Add(probeDuration)
+	}
+}
+
+// recovered records that the engine has responded.
+func (e *bookEngine) recovered() { e.failures, e.probing, e.suspectedUntil = 0, false, time.Time{} }
+
 // usable reports whether the engine takes generations or prompts.
 func (e *bookEngine) usable(now time.Time) bool {
 	return e.Accepts && now.Sub(e.changingAt) >= changingLifetime
@@ -140,10 +172,12 @@
 	}
 }
 
-// ObservePrefillRate records the rate of prefill engines that an entry reports, in tokens per millisecond.
-func (b *Book) ObservePrefillRate(rate float64) {
+// ObservePrefillSpeed records the speed of prefill engines that an entry reports: tokens per millisecond, and the time that a
+// prefill takes beyond that. A rate of 0 is ignored.
+func (b *Book) ObservePrefillSpeed(rate float64, delay time.Duration) {
 	if rate > 0 {
 		b.prefillRate += rateWeight * (rate - b.prefillRate)
+		b.prefillDelay += time.Duration(rateWeight * float64(delay-b.prefillDelay))
 	}
 }
 
@@ -173,6 +207,9 @@
 			own[g.ID] = p
 			e.generations = append(e.generations, p)
 		}
+		if g.Output > p.Output {
+			e.recovered()
+		}
 		if g.Output > p.Output && p.Output > 0 {
 			tokenTime := float64(now.Sub(p.outputAt)) / float64(g.Output-p.Output)
 			if b.tokenTime == 0 {
@@ -194,10 +231,18 @@
 	return ended
 }
 
-// Suspect records that an entry has ejected an engine because of failures.
+// Suspect records that an entry has ejected an engine because of failures. The engine is the last choice until it responds,
+// except that one generation at a time tries it again, after a pause that doubles with each failure. Otherwise each entry
+// of a large fleet would try it.
 func (b *Book) Suspect(now time.Time, id string, incarnation uint64) {
-	if e := b.engines[id]; e != nil && e.Incarnation == incarnation {
-		e.suspectedAt = now
+	e := b.engines[id]
+	if e == nil || e.Incarnation != incarnation {
+		return
+	}
+	if e.probing || !e.suspect(now) {
+		e.suspectedUntil = now.Add(min(initialSuspicion<<min(e.failures, 8), maxSuspicion))
+		e.failures++
+		e.probing = false
 	}
 }
 
@@ -327,6 +372,7 @@
 	p := &placed{Generation: g, session: need.Session, engine: e, placedAt: now, outputAt: now}
 	own[g.ID] = p
 	e.generations = append(e.generations, p)
+	e.probe(now)
 }
 
 // cost returns the share of the engine's memory that will be used, plus penalties.
@@ -335,7 +381,7 @@
 	if e.FailureDomain != need.FailureDomain {
 		cost += remoteEnginePenalty
 	}
-	if !e.Announcing || now.Sub(e.suspectedAt) < suspectDuration {
+	if !e.Announcing || e.suspect(now) {
 		cost += suspectPenalty
 	}
 	return cost
@@ -351,7 +397,7 @@
 	var least time.Duration
 	for _, id := range b.ids {
 		e := b.engines[id]
-		if e.Service != need.Service || e.Role != RolePrefill || !e.usable(now) || !e.Announcing || now.Sub(e.suspectedAt) < suspectDuration {
+		if e.Service != need.Service || e.Role != RolePrefill || !e.usable(now) || !e.Announcing || e.suspect(now) {
 			continue
 		}
 		delay := max(0, e.busyUntil.Sub(now))
@@ -366,7 +412,7 @@
 		return
 	}
 	f := Forecast{
-		Direct: placement.PrefillTime, Split: max(0, best.busyUntil.Sub(now)) + took + TransferOverhead, HasSplit: true, DecodeIdle: idle,
+		Direct: placement.PrefillTime, Split: max(0, best.busyUntil.Sub(now)) + took + b.prefillDelay + TransferOverhead, HasSplit: true, DecodeIdle: idle,
 	}
 	if !f.UsePrefill(need.Target) {
 		return
@@ -376,5 +422,6 @@
 		start = best.busyUntil
 	}
 	best.busyUntil = start.Add(took)
+	best.probe(now)
 	placement.Prefill, placement.PrefillTime = best.Upstream, f.Split
 }
--- a/entry/place/book_test.go
+++ b/entry/place/book_test.go
@@ -332,3 +332,100 @@
 		t.Errorf("cancelled: got %d waiting, want 0", len(q.waiting))
 	}
 }
+
+// TestPrefillDelay guards against prefill engines that appear slow, and get too many other engines at their side, because
+// a fixed delay or time in a queue counts as time in which they process nothing else.
+func TestPrefillDelay(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	table := NewTable(0)
+	for range 200 {
+		tokens := 2000 + r.IntN(8000)
+		took := 120*time.Millisecond + time.Duration(float64(tokens)/50*float64(time.Millisecond)) + time.Duration(r.IntN(40))*time.Millisecond
+		table.ObservePrefill(tokens, took)
+	}
+	rate, delay := table.PrefillSpeed()
+	if rate < 42 || rate > 60 || delay < 110*time.Millisecond || delay > 170*time.Millisecond {
+		t.Errorf("got %.1f tokens/ms and a delay of %v, want about 50 and 140ms", rate, delay)
+	}
+	for range 200 {
+		tokens := 2000 + r.IntN(8000)
+		took := time.Duration(float64(tokens) / 25 * float64(time.Millisecond))
+		table.ObservePrefill(tokens, took)
+	}
+	if rate, delay := table.PrefillSpeed(); rate > 28 || delay > 20*time.Millisecond {
+		t.Errorf("slower engines: got %.1f tokens/ms and a delay of %v, want about 25 and none", rate, delay)
+	}
+}
+
+// TestBookProbes guards against an engine that has failed and that each entry of a large fleet tries again, and against one
+// that is not used again after it has recovered.
+func TestBookProbes(t *testing.T) {
+	b := NewBook()
+	b.Set([]Upstream{decodeEngine("a", "d"), decodeEngine("b", "far")})
+	now, id := epoch, uint64(0)
+	tries := func(n int) (got int) {
+		for range n {
+			id++
+			p, err := b.Place(now, generationNeed(1, id))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p.Decode.ID == "a" {
+				got++
+			}
+			b.Observe(now.Add(time.Second), 1, nil)
+		}
+		return got
+	}
+	for failure := range 5 {
+		if got := tries(20); failure == 0 && got != 20 || failure > 0 && got != 1 {
+			t.Errorf("after %d failures: got %d of 20 generations on the engine, want all at first and then one", failure, got)
+		}
+		b.Suspect(now, "a", 1)
+		if got := tries(20); got != 0 {
+			t.Errorf("suspected: got %d generations on the engine, want none", got)
+		}
+		now = now.Add(min(initialSuspicion<<failure, maxSuspicion))
+	}
+	tries(1)
+	b.Observe(now, 2, []Generation{{ID: 1, Upstream: "a", Incarnation: 1, Prompt: 1, Expected: 1}})
+	b.Observe(now, 2, []Generation{{ID: 1, Upstream: "a", Incarnation: 1, Prompt: 1, Expected: 1, Output: 1}})
+	if got := tries(20); got != 20 {
+		t.Errorf("responded: got %d of 20 generations on the engine, want all", got)
+	}
+}
+
+// TestLateCallersWaitBehindOthers guards against callers that are refused a second time although memory becomes free while
+// they could wait, and against callers that can be served in time behind callers that cannot.
+func TestLateCallersWaitBehindOthers(t *testing.T) {
+	b := NewBook()
+	u := decodeEngine("a", "d")
+	u.Slots = 1
+	b.Set([]Upstream{u})
+	q := NewQueue(b)
+	add := func(id uint64, wait time.Duration, late bool) *Waiting {
+		w := &Waiting{Need: generationNeed(id, id), Until: epoch.Add(wait), Patience: 10 * time.Second, Late: late, Done: make(chan Result, 1)}
+		if r, done := q.Add(epoch, w); done {
+			w.Done <- r
+		}
+		return w
+	}
+	running := add(1, 0, false)
+	late, inTime := add(2, 2500*time.Millisecond, true), add(3, 500*time.Millisecond, false)
+	if len(running.Done) != 1 || len(late.Done) != 0 || len(inTime.Done) != 0 {
+		t.Fatalf("got %d, %d and %d results, want the first one placed and the others waiting", len(running.Done), len(late.Done), len(inTime.Done))
+	}
+	b.Drop(1)
+	q.Advance(epoch.Add(300 * time.Millisecond))
+	if len(inTime.Done) != 1 || len(late.Done) != 0 {
+		t.Fatalf("got %d and %d results, want the caller in time placed first", len(inTime.Done), len(late.Done))
+	}
+	b.Drop(3)
+	q.Advance(epoch.Add(2 * time.Second))
+	if len(late.Done) != 1 {
+		t.Fatal("got no result for the late caller, want it placed once memory is free")
+	}
+	if r := <-late.Done; r.Err != nil {
+		t.Errorf("late caller: got %v, want a placement", r.Err)
+	}
+}
--- a/entry/place/demand.go
+++ b/entry/place/demand.go
@@ -17,6 +17,8 @@
 type Demand struct {
 	// Prompt is the average number of prompt tokens.
 	Prompt float64
+	// Output is the average number of output tokens.
+	Output float64
 	// MemoryTime is the average KV-cache memory use of a generation: the number of tokens held in memory multiplied by the
 	// time they are held, in token-nanoseconds.
 	MemoryTime float64
@@ -31,7 +33,7 @@
 
 // DemandTotal is the sum over the generations of one entry since it started.
 type DemandTotal struct {
-	Generations, PromptTokens uint64
+	Generations, PromptTokens, OutputTokens uint64
 	// MemoryMillis is the KV-cache memory use in token-milliseconds.
 	MemoryMillis uint64
 }
@@ -50,8 +52,9 @@
 	memoryTime := (float64(prompt) + float64(output)/2) * d.bestTimePerToken * float64(max(1, output))
 	d.localTotal.Generations++
 	d.localTotal.PromptTokens += uint64(max(0, prompt))
+	d.localTotal.OutputTokens += uint64(max(0, output))
 	d.localTotal.MemoryMillis += uint64(max(0, memoryTime) / float64(time.Millisecond))
-	d.addSamples(1, float64(prompt), memoryTime)
+	d.addSamples(1, float64(prompt), float64(output), memoryTime)
 }
 
 // ExpectedDuration returns the expected duration of a response of the given number of output tokens, or 0 before the
@@ -76,7 +79,8 @@
 	n := total.Generations - last.Generations
 	prompt := float64(total.PromptTokens-last.PromptTokens) / float64(n)
 	memoryTime := float64(total.MemoryMillis-last.MemoryMillis) / float64(n) * float64(time.Millisecond)
-	d.addSamples(int(n), prompt, memoryTime)
+	output := float64(total.OutputTokens-last.OutputTokens) / float64(n)
+	d.addSamples(int(n), prompt, output, memoryTime)
 }
 
 // RetainSessions drops the totals of all other entries except those given.
@@ -88,12 +92,13 @@
 	}
 }
 
-// addSamples adds generations with the given average prompt tokens and memory use to the moving averages.
-func (d *Demand) addSamples(generations int, prompt, memoryTime float64) {
+// addSamples adds generations with the given average prompt tokens, output tokens and memory use to the moving averages.
+func (d *Demand) addSamples(generations int, prompt, output, memoryTime float64) {
 	for range min(generations, minGenerations) {
 		weight := max(demandWeight, 1/float64(d.count+1))
 		d.count++
 		d.Prompt += weight * (prompt - d.Prompt)
+		d.Output += weight * (output - d.Output)
 		d.MemoryTime += weight * (memoryTime - d.MemoryTime)
 	}
 }
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -239,9 +239,12 @@
 	rotation int
 	random   *rand.Rand
 	// entries is the number of entries that send requests to the same upstreams, including this one.
-	entries int
-	// prefillRate is the observed rate of prefill engines, in prompt tokens per millisecond.
-	prefillRate float64
+	entries  int
+	prefills prefillSpeed
+	// prefillRate is the observed rate of prefill engines, in prompt tokens per millisecond. prefillDelay is the time that a
+	// prefill takes beyond that.
+	prefillRate  float64
+	prefillDelay time.Duration
 }
 
 // NewTable returns an empty table. Entries with different seeds start at different upstreams and draw different
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
-// Queue holds generations that wait for memory, in the order of their arrival. In a burst, a generation is refused at
-// once if those before it are expected to take the memory that becomes free while it may wait. A Queue is not safe for
-// concurrent use.
+// Queue holds generations that wait for memory, in the order of their arrival; those of callers that were refused before
+// and can no longer be served within the target come after all others and wait longer, instead of being refused again. In
+// a burst, a generation is refused at once if those before it are expected to take the memory that becomes free while it
+// may wait. A Queue is not safe for concurrent use.
 type Queue struct {
 	book    *Book
 	returns map[string]*RetryEstimator
@@ -20,6 +22,8 @@
 	// Until is when the generation is refused, Patience how long its caller waits.
 	Until    time.Time
 	Patience time.Duration
+	// Late is set if the caller can no longer be served within its target.
+	Late bool
 	// Done receives the result once.
 	Done chan Result
 }
@@ -47,7 +51,7 @@
 
 // Add places a generation, refuses it, or lets it wait and returns false.
 func (q *Queue) Add(now time.Time, w *Waiting) (Result, bool) {
-	ahead := q.length(w.Need.Service)
+	ahead := q.ahead(w)
 	if ahead == 0 {
 		p, err := q.book.Place(now, w.Need)
 		if !errors.Is(err, ErrBusy) {
@@ -62,10 +66,11 @@
 	return Result{}, false
 }
 
-func (q *Queue) length(service string) int {
+// ahead returns the number of waiting generations that are placed before another one.
+func (q *Queue) ahead(w *Waiting) int {
 	n := 0
-	for _, w := range q.waiting {
-		if w.Need.Service == service {
+	for _, other := range q.waiting {
+		if other.Need.Service == w.Need.Service && (w.Late || !other.Late) {
 			n++
 		}
 	}
@@ -99,6 +104,15 @@
 	if len(q.waiting) == 0 {
 		return
 	}
+	slices.SortStableFunc(q.waiting, func(a, b *Waiting) int {
+		switch {
+		case a.Late == b.Late:
+			return 0
+		case a.Late:
+			return 1
+		}
+		return -1
+	})
 	blocked := map[string]bool{}
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -9,11 +9,22 @@
 	// decodePrefillFraction is the fraction of the prefill rate at which a decode engine processes prompts between the
 	// output tokens of other requests.
 	decodePrefillFraction = 0.5
+	// minPrefillSamples is the number of prefills after which their observed speed counts.
+	minPrefillSamples = 8
+	// prefillWeight is the weight of one prefill in the moving averages.
+	prefillWeight = 0.05
+	// minTokenDeviation is the standard deviation of prompt lengths, as a share of their mean, from which on the delay can be
+	// told from the rate.
+	minTokenDeviation = 0.1
 	// prefillRateDecay lowers the observed rate with each prompt, so that a slower engine is noticed.
 	prefillRateDecay = 0.98
 	// maxPrefillRateGrowth bounds how much one prompt raises the observed rate, because a prompt that is mostly in the
 	// prefix cache appears to take no time.
 	maxPrefillRateGrowth = 1.05
+	// minPrefillTimeShare is the least time of a prefill that is observed, as a share of the expected time, for the same reason.
+	minPrefillTimeShare = 0.7
+	// maxPrefillRateFactor bounds how far the observed rate may be from the initial one.
+	maxPrefillRateFactor = 10
 	// TransferOverhead is the time added by moving a prefill result to a decode engine.
 	TransferOverhead = 10 * time.Millisecond
 )
@@ -22,21 +33,57 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
 }
 
+// prefillSpeed estimates the time of a prefill as a delay plus the number of tokens divided by a rate. Time in the queue of
+// an engine and a fixed delay are part of the delay, so they do not make the engines appear to have a lower throughput.
+type prefillSpeed struct {
+	samples int
+	// meanTokens and meanMillis are moving averages, variance and covariance those of the products of the deviations.
+	meanTokens, meanMillis, variance, covariance float64
+}
+
+func (p *prefillSpeed) observe(tokens int, took time.Duration) {
+	p.samples++
+	weight := max(prefillWeight, 1/float64(p.samples))
+	x, y := float64(tokens), float64(took)/float64(time.Millisecond)
+	dx := x - p.meanTokens
+	p.meanTokens += weight * dx
+	p.meanMillis += weight * (y - p.meanMillis)
+	p.variance = (1 - weight) * (p.variance + weight*dx*dx)
+	p.covariance += weight * (dx*(y-p.meanMillis) - p.covariance)
+}
+
+// estimate returns the rate in tokens per millisecond and the delay, and false while they are unknown.
+func (p *prefillSpeed) estimate() (rate float64, delay time.Duration, ok bool) {
+	deviation := minTokenDeviation * p.meanTokens
+	if p.samples < minPrefillSamples || p.covariance <= 0 || p.variance < deviation*deviation {
+		return 0, 0, false
+	}
+	rate = min(max(p.variance/p.covariance, initialPrefillRate/maxPrefillRateFactor), initialPrefillRate*maxPrefillRateFactor)
+	return rate, time.Duration(max(0, p.meanMillis-p.meanTokens/rate) * float64(time.Millisecond)), true
+}
+
 // ObservePrefill records how long a prefill engine took for a prompt, including the time queued behind other prompts.
 func (t *Table) ObservePrefill(tokens int, took time.Duration) {
 	if took <= 0 || tokens <= 0 {
 		return
 	}
+	expected := t.PrefillTime(float64(tokens)) + t.prefillDelay
+	t.prefills.observe(tokens, max(took, time.Duration(minPrefillTimeShare*float64(expected))))
+	if rate, delay, ok := t.prefills.estimate(); ok {
+		t.prefillRate, t.prefillDelay = rate, delay
+		return
+	}
+	// Prompts of one length do not tell the delay from the rate.
 	rate := float64(tokens) / (float64(took) / float64(time.Millisecond))
 	t.prefillRate = min(max(rate, t.prefillRate*prefillRateDecay), t.prefillRate*maxPrefillRateGrowth)
+	t.prefillDelay = 0
 }
 
-// PrefillRate returns the observed rate of prefill engines in tokens per millisecond, or 0 before the first observation.
-func (t *Table) PrefillRate() float64 {
-	if t.prefillRate == initialPrefillRate {
-		return 0
-	}
-	return t.prefillRate
+// PrefillSpeed returns the observed rate of prefill engines in tokens per millisecond, or 0 before enough observations, and
+// the time that a prefill takes beyond that.
+func (t *Table) PrefillSpeed() (rate float64, delay time.Duration) {
+	rate, delay, _ = t.prefills.estimate()
+	return rate, delay
 }
 
 // Forecast is the expected time to first token of a request that was assigned to a decode engine.
@@ -63,7 +110,7 @@
 	if prefill, err := t.best(now, need); err == nil {
 		f.HasSplit = true
 		work, _ := prefill.totalLoad()
-		f.Split = prefillTime(work+prompt, t.prefillRate) + TransferOverhead
+		f.Split = prefillTime(work+prompt, t.prefillRate) + t.prefillDelay + TransferOverhead
 	}
 	return f
 }
--- a/entry/usage/place.go
+++ b/entry/usage/place.go
@@ -26,6 +26,8 @@
 	// Wait is how long the generation may wait for memory. Target is the latency target, Patience how long the caller
 	// waits.
 	Wait, Target, Patience time.Duration
+	// Late is set if the target has passed already, because the caller was refused before.
+	Late bool
 }
 
 // PlaceResult holds the engines of a generation.
@@ -53,6 +55,7 @@
 		SessionId: own, Service: need.Service, Generation: generationMessage(need.Generation), FailureDomain: need.FailureDomain,
 		Exclude: need.Exclude, Full: need.Full, WaitMillis: uint32(max(0, need.Wait.Milliseconds())),
 		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
+		Late: need.Late,
 	}
 	response, err := l.callPlace(ctx, own, id, request, need.Wait)
 	switch {
@@ -60,8 +63,12 @@
 		return placeResult(response)
 	case ctx.Err() != nil:
 		return PlaceResult{}, context.Cause(ctx) //nolint:wrapcheck // callers check the cause
+	case status.Code(err) == codes.Unavailable:
+		l.coordinatorFailed(id)
+	default:
+		// The next report finds out whether the coordinator responds at all.
+		l.Changed()
 	}
-	l.coordinatorFailed(id)
 	return PlaceResult{}, ErrNoCoordinator
 }
 
@@ -77,10 +84,10 @@
 	l.Changed()
 }
 
-// callPlace calls the coordinator. The first response has to arrive within callTimeout, so that a coordinator that has
+// callPlace calls the coordinator. The first response has to arrive within placeTimeout, so that a coordinator that has
 // failed is noticed before the generation has waited.
 func (l *Limiter) callPlace(ctx context.Context, own, id uint64, request *fleetpb.PlaceRequest, wait time.Duration) (*fleetpb.PlaceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+placeTimeout)
 	defer cancel()
 	if id == own {
 		return l.config.Coordinator.PlaceGeneration(ctx, request, func() error { return nil })
@@ -93,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	silence := time.AfterFunc(callTimeout, cancel)
+	silence := time.AfterFunc(placeTimeout, cancel)
 	defer silence.Stop()
 	stream, err := fleetpb.NewPeerClient(conn).Place(ctx, request)
 	if err != nil {
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -30,8 +30,11 @@
 	idleFactor = 2
 	// minKickPause is the shortest time between two reports, so that several ends of generations share one.
 	minKickPause = 20 * time.Millisecond
-	// callTimeout bounds one report and the first response to a placement.
-	callTimeout = 200 * time.Millisecond
+	// reportTimeout bounds one report. It allows for a packet that is lost and sent again twice, because entries that
+	// choose another coordinator for each lost packet place generations without knowledge of the others.
+	reportTimeout = 650 * time.Millisecond
+	// placeTimeout bounds the first response to a placement.
+	placeTimeout = 250 * time.Millisecond
 	// minAvoidance is how long a coordinator that failed is not asked again. It doubles with each failure up to
 	// maxAvoidance.
 	minAvoidance = time.Second
@@ -43,7 +46,7 @@
 // Control provides the view and the session of this entry.
 type Control interface {
 	View() *control.View
-	// SessionID returns the session of this entry, and false while there is none.
+	// SessionID returns the last session of this entry, or 0, and whether its lease is valid.
 	SessionID() (uint64, bool)
 }
 
@@ -65,8 +68,9 @@
 	ObserveDemands(session uint64, totals map[string]place.DemandTotal)
 	// Generations returns the generations of this entry on decode engines.
 	Generations() []place.Generation
-	// PrefillRate returns the observed rate of prefill engines in tokens per millisecond, or 0.
-	PrefillRate() float64
+	// PrefillSpeed returns the observed rate of prefill engines in tokens per millisecond, or 0, and the time that a prefill
+	// takes beyond that.
+	PrefillSpeed() (rate float64, delay time.Duration)
 }
 
 // Config configures a Limiter.
@@ -197,8 +201,9 @@
 // report reports to the first coordinator that answers.
 func (l *Limiter) report(ctx context.Context) {
 	view := l.config.Control.View()
-	own, ok := l.config.Control.SessionID()
-	if !ok || view.Sessions[own] == nil {
+	// A session whose lease has expired still identifies this entry, for example while the control group has no leader.
+	own, _ := l.config.Control.SessionID()
+	if view.Sessions[own] == nil {
 		return
 	}
 	l.mu.Lock()
@@ -261,7 +266,7 @@
 	uses := l.meter.Report(time.Now())
 	l.mu.Unlock()
 	report := l.localReport(own, uses)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var response *fleetpb.FleetUse
 	var err error
@@ -288,7 +293,8 @@
 var errSessionMismatch = errors.New("the address belongs to another session")
 
 func (l *Limiter) localReport(own uint64, uses []limit.Use) *fleetpb.UseReport {
-	report := &fleetpb.UseReport{SessionId: own, PrefillRate: uint32(l.loads.PrefillRate() * 1000)}
+	rate, delay := l.loads.PrefillSpeed()
+	report := &fleetpb.UseReport{SessionId: own, PrefillRate: uint32(rate * 1000), PrefillDelayMillis: uint32(delay.Milliseconds())}
 	for _, load := range l.loads.Loads() {
 		report.Upstreams = append(report.Upstreams, &fleetpb.UpstreamUse{
 			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests), Ejected: load.Ejected,
@@ -299,7 +305,7 @@
 	}
 	for service, d := range l.loads.Demands() {
 		report.Demands = append(report.Demands, &fleetpb.ServiceDemand{
-			Service: service, Generations: d.Generations, PromptTokens: d.PromptTokens, Room: d.MemoryMillis,
+			Service: service, Generations: d.Generations, PromptTokens: d.PromptTokens, Room: d.MemoryMillis, OutputTokens: d.OutputTokens,
 		})
 	}
 	for _, g := range l.loads.Generations() {
@@ -337,7 +343,7 @@
 	l.loads.ObserveRetries(response.SessionId, totals)
 	demands := map[string]place.DemandTotal{}
 	for _, d := range response.Demands {
-		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, MemoryMillis: d.Room}
+		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, OutputTokens: d.OutputTokens, MemoryMillis: d.Room}
 	}
 	l.loads.ObserveDemands(response.SessionId, demands)
 	levels := make([]limit.Use, 0, len(response.Customers))
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -73,8 +73,8 @@
 	return map[string]place.DemandTotal{"s": {Generations: 3 * f.reports, PromptTokens: 30 * f.reports, MemoryMillis: 300 * f.reports}}
 }
 
-func (f *fakeLoads) Generations() []place.Generation { return f.generations }
-func (f *fakeLoads) PrefillRate() float64            { return 0 }
+func (f *fakeLoads) Generations() []place.Generation        { return f.generations }
+func (f *fakeLoads) PrefillSpeed() (float64, time.Duration) { return 0, 0 }
 
 func (f *fakeLoads) Observe(session uint64, loads []place.Load) {
 	f.mu.Lock()
@@ -291,8 +291,8 @@
 	if _, err := second.Place(t.Context(), need); !errors.Is(err, ErrNoCoordinator) {
 		t.Errorf("got %v, want %v", err, ErrNoCoordinator)
 	}
-	if took := time.Since(start); took > 5*callTimeout {
-		t.Errorf("got an answer after %v, want it within %v", took, 5*callTimeout)
+	if took := time.Since(start); took > 4*placeTimeout {
+		t.Errorf("got an answer after %v, want it within %v", took, 4*placeTimeout)
 	}
 	awaitCoordinator(t, entries[1:], 2)
 }
--- a/entry/web/place.go
+++ b/entry/web/place.go
@@ -53,7 +53,7 @@
 	result, err := q.router.config.Placer.Place(q.ctx, usage.PlaceNeed{
 		Service: q.service, Generation: generation, FailureDomain: q.router.config.FailureDomain,
 		Exclude: append(q.router.ejected(q.service), q.need.Exclude...), Full: full,
-		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left,
+		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left, Late: q.late,
 	})
 	switch {
 	case errors.Is(err, place.ErrNone) && len(q.need.Exclude) == 0:
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -32,6 +32,8 @@
 	// deadline is set by the shorter of the caller's and the route's timeout, less responseMargin.
 	deadline time.Time
 	need     place.Need
+	// late is set if the caller was refused before and can no longer be served within the target.
+	late bool
 	// expectedOutput is the expected number of output tokens.
 	expectedOutput int
 	// generation is the current generation on a decode engine; its ID is 0 without one.
@@ -76,11 +78,12 @@
 	responseMargin = 15 * time.Millisecond
 	// queueWaitShare is the share of the target latency that a request may wait for a busy service.
 	queueWaitShare = 0.7
+	// latePatienceShare is the share of the longest patience of a route's callers below which a caller has returned after a
+	// refusal. The patience of callers varies by a seventh, and one that was refused is told to return after up to a third.
+	latePatienceShare = 0.8
 	// placedOutputShare is the share of a generation's expected output that counts as its work on an engine. Generations
 	// on an engine are at different stages, so few reach their full length at the same time.
 	placedOutputShare = 0.7
-	// outputLengthWeight is the weight of one response in the moving average of a route's output length.
-	outputLengthWeight = 0.05
 )
 
 func (q *request) findDocument() *refusal {
@@ -141,7 +144,8 @@
 	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
 	if s := q.document.Services[q.service]; s.Engine != nil {
 		q.need.Role = place.RoleDecode
-		q.expectedOutput = q.router.expectedOutput(q.route.Name, q.call)
+		q.expectedOutput = q.router.expectedOutput(q.service, q.call)
+		q.late = q.router.isLate(q.route.Name, patience)
 		q.need.Work = max(1, q.call.PromptTokens+int(float64(q.expectedOutput)*placedOutputShare))
 	}
 	if left, ending := q.x.TimeUntilExit(); ending && left < q.route.Timeout && !place.AcceptWhileStopping(q.router.config.Grace, left, q.router.generationDuration(q.service, q.expectedOutput)) {
@@ -241,30 +245,34 @@
 }
 
 // expectedOutput returns the expected number of output tokens of a generation: the caller's estimate, the average of the
-// route, or half the limit.
-func (r *Router) expectedOutput(route string, call Call) int {
+// service over all entries, or half the limit. An entry of a large fleet sees too few generations for an average of its own,
+// and the first ones that end are short.
+func (r *Router) expectedOutput(service string, call Call) int {
 	if call.ExpectedTokens > 0 {
 		return min(call.ExpectedTokens, call.MaxTokens)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if mean := r.outputLengths[route]; mean > 0 {
-		return min(int(mean), call.MaxTokens)
+	if d := r.demands[service]; d != nil && d.Known() {
+		return min(int(d.Output), call.MaxTokens)
 	}
 	return call.MaxTokens / 2
 }
 
+// isLate reports whether a caller with the given patience has returned after a refusal, as far as its patience shows, so that
+// the target has passed.
+func (r *Router) isLate(route string, patience time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.longestPatience[route] = max(r.longestPatience[route], patience)
+	return patience < time.Duration(latePatienceShare*float64(r.longestPatience[route]))
+}
+
 // recordGeneration adds a complete generation to the service's demand and to the route's average output length.
 func (r *Router) recordGeneration(q *request, tokens int, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.demand(q.service).Add(q.call.PromptTokens, tokens, took)
-	route := q.route.Name
-	mean := r.outputLengths[route]
-	if mean == 0 {
-		mean = float64(tokens)
-	}
-	r.outputLengths[route] = mean + outputLengthWeight*(float64(tokens)-mean)
 }
 
 // generationDuration returns how long a generation with the given number of output tokens takes, or 0 while no estimate
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -20,6 +20,9 @@
 	// reservedOutputShare is the share of the expected output for which memory must be free when the request is placed. Other
 	// generations on the engine end and free their memory while this one grows.
 	reservedOutputShare = 0.6
+	// uncoordinatedOutputShare replaces reservedOutputShare for a generation that the coordinator has not placed: the
+	// engine may run generations that this entry does not know and that are still to grow.
+	uncoordinatedOutputShare = 2
 	// maxReserves bounds the reservation calls of one request.
 	maxReserves = 6
 	// maxResumeReserves bounds the reservation calls of a stream that resumes on another engine.
@@ -34,7 +37,8 @@
 // free memory and no running generation is preempted for lack of memory. Every entry calls the engine itself, because
 // the loads that entries exchange are too old when many of them place requests at once. For a service without
 // reservations, reserve only ensures that a connection exists and returns an empty ID.
-func (q *request) reserve(u place.Upstream) (id string, outcome place.Outcome, err error) {
+func (q *request) reserve(p placement) (id string, outcome place.Outcome, err error) {
+	u := p.decode
 	service := q.document.Services[u.Service]
 	engine, connections := service.Engine, q.router.connections(service)
 	if engine == nil || engine.Reservation <= 0 {
@@ -44,7 +48,7 @@
 	out, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(out)
 	defer fasthttp.ReleaseResponse(response)
-	q.router.config.Codec.Reserve(out, q.tokensToReserve(), engine.Reservation)
+	q.router.config.Codec.Reserve(out, q.tokensToReserve(p.coordinated), engine.Reservation)
 	out.Header.SetHost(u.Address)
 	call := conn.Call{
 		Address: u.Address, Request: out, Reuse: true, FirstByteTimeout: reserveTimeout, ReadTimeout: reserveTimeout, MaxBody: maxReservationBytes,
@@ -69,8 +73,12 @@
 }
 
 // tokensToReserve returns how much memory the engine must have free for the request, in tokens.
-func (q *request) tokensToReserve() int {
-	return max(1, q.call.PromptTokens+int(reservedOutputShare*float64(q.expectedOutput)))
+func (q *request) tokensToReserve(coordinated bool) int {
+	share := reservedOutputShare
+	if !coordinated && q.router.config.Placer != nil {
+		share = uncoordinatedOutputShare
+	}
+	return max(1, q.call.PromptTokens+int(share*float64(q.expectedOutput)))
 }
 
 // reserveOutcome returns the outcome of a call that is made before the request itself is sent.
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -80,12 +80,12 @@
 	mu      sync.Mutex
 	table   *place.Table
 	budgets map[string]*retry.Budget
-	// outputLengths is the average output length of the generations of each route, in tokens.
-	outputLengths map[string]float64
 	// demands is the resource demand of an average generation, by service.
 	demands map[string]*place.Demand
 	// retryEstimators holds, by service, the estimator of when callers that were refused for lack of capacity retry.
 	retryEstimators map[string]*place.RetryEstimator
+	// longestPatience is the longest time that a caller of each route was ready to wait.
+	longestPatience map[string]time.Duration
 	// generations holds the generations of this entry on decode engines.
 	generations *generations
 	// changed is closed and replaced when an attempt ends or the upstreams or their loads change.
@@ -105,8 +105,8 @@
 func New(c Config) *Router {
 	return &Router{
 		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
-		outputLengths: map[string]float64{}, retryEstimators: map[string]*place.RetryEstimator{}, demands: map[string]*place.Demand{},
-		generations: newGenerations(), changed: make(chan struct{}), entryCount: 1, started: time.Now(),
+		retryEstimators: map[string]*place.RetryEstimator{}, demands: map[string]*place.Demand{},
+		longestPatience: map[string]time.Duration{}, generations: newGenerations(), changed: make(chan struct{}), entryCount: 1, started: time.Now(),
 	}
 }
 
@@ -234,11 +234,11 @@
 	return slices.DeleteFunc(r.table.Loads(time.Now()), func(l place.Load) bool { return l.Engine && !l.Ejected })
 }
 
-// PrefillRate implements usage.Loads.
-func (r *Router) PrefillRate() float64 {
+// PrefillSpeed implements usage.Loads.
+func (r *Router) PrefillSpeed() (rate float64, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.PrefillRate()
+	return r.table.PrefillSpeed()
 }
 
 // Generations implements usage.Loads.
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -24,6 +24,9 @@
 	firstEventSlack = 900 * time.Millisecond
 	// reserveWaitShare is the share of the target latency that a generation may wait for free memory on an engine.
 	reserveWaitShare = 0.4
+	// lateWaitFactor is how long a caller that returned too late for the target waits for free memory, as a factor of the
+	// target. Callers disconnect after four times the target without an event.
+	lateWaitFactor = 2.5
 	// resumeWaitFactor is how long an interrupted stream waits for free memory on another engine, as a factor of the
 	// target latency. Callers disconnect after a pause of four times the target.
 	resumeWaitFactor = 2
@@ -160,6 +163,9 @@
 // reason other than lack of memory, the engine is returned as a failed attempt.
 func (q *request) reserveDecodeEngine(f *Forwarding) (p placement, failed *attempt, refused *refusal) {
 	until, maxCalls := q.x.Arrived.Add(time.Duration(float64(q.route.Target)*reserveWaitShare)), maxReserves
+	if q.late {
+		until = q.x.Arrived.Add(time.Duration(float64(q.route.Target) * lateWaitFactor))
+	}
 	if q.mayHaveRun {
 		// The caller may have part of the response, which is lost unless an engine takes over before the caller disconnects.
 		until, maxCalls = time.Now().Add(resumeWaitFactor*q.route.Target), maxResumeReserves
@@ -171,7 +177,7 @@
 			return p, nil, refused
 		}
 		s := &attempt{upstream: p.decode, need: q.need, began: time.Now()}
-		f.Reservation, s.outcome, s.err = q.reserve(p.decode)
+		f.Reservation, s.outcome, s.err = q.reserve(p)
 		switch s.outcome {
 		case place.Served:
 			return p, nil, nil
