Report refunds to the coordinator instead of keeping them at the entry

Cause: an entry kept refunded tokens as a credit and added it to the coordinator's level, also after the bucket had filled up again.

Change: the reported total is net of refunds.

--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -16,7 +16,7 @@
 // Use is the report of one entry on one bucket.
 type Use struct {
 	Bucket string
-	// Tokens is the total that the entry admitted; it never decreases within a session.
+	// Tokens is the total that the entry admitted in its session, less refunds.
 	Tokens int64
 	// Level is the entry's estimate of the tokens left in the bucket.
 	Level float64
@@ -54,9 +54,8 @@
 	limit      config.Limit
 	level      float64
 	refilledAt time.Time
-	// admitted is the total that this entry reports. credit counts refunded tokens that later admissions have not yet
-	// consumed.
-	admitted, credit int64
+	// admitted is the total that this entry reports.
+	admitted int64
 	// acknowledged is the part of admitted that a coordinator has counted.
 	acknowledged int64
 	// refusedWork counts the tokens of refused requests that are expected to be retried.
@@ -134,9 +133,7 @@
 	b := m.bucket(now, name, limit)
 	if b.level > 0 {
 		b.level -= float64(tokens)
-		paid := min(b.credit, tokens)
-		b.credit -= paid
-		b.admitted += tokens - paid
+		b.admitted += tokens
 		return true, 0
 	}
 	wait := (b.refusedWork - b.level) / float64(limit.TokensPerSecond)
@@ -144,12 +141,11 @@
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
-// Refund returns the tokens of a request that did not run. Reported totals never decrease, so the refund is deducted
-// from later admissions.
+// Refund returns the tokens of a request that did not run.
 func (m *Meter) Refund(now time.Time, name string, limit config.Limit, tokens int64) {
 	b := m.bucket(now, name, limit)
 	b.level = min(b.level+float64(tokens), float64(b.limit.BurstTokens))
-	b.credit += tokens
+	b.admitted -= tokens
 }
 
 // Report returns the use of each bucket at this entry.
@@ -172,9 +168,9 @@
 	}
 	adopt := func(name string, limit config.Limit, level float64) {
 		b := m.bucket(now, name, limit)
-		b.acknowledged = max(b.acknowledged, tokens[name])
-		// Tokens admitted since the report are not in the level, and refunded ones still are.
-		b.level = min(level-float64(b.admitted-tokens[name])+float64(b.credit), float64(limit.BurstTokens))
+		b.acknowledged = tokens[name]
+		// Tokens admitted or refunded since the report are not in the level.
+		b.level = min(level-float64(b.admitted-tokens[name]), float64(limit.BurstTokens))
 	}
 	for _, u := range levels {
 		if limit, ok := limits(u.Bucket); ok {
@@ -209,7 +205,7 @@
 		}
 		b := m.bucket(now, u.Bucket, limit)
 		if last, known := p.tokens[u.Bucket]; known || !first {
-			used := float64(max(0, u.Tokens-last)) - p.assumed[u.Bucket]
+			used := float64(u.Tokens-last) - p.assumed[u.Bucket]
 			b.level = min(b.level-used, float64(limit.BurstTokens))
 		} else {
 			// This is the peer's first report. Its total includes use that an earlier coordinator counted, so the level
@@ -218,7 +214,7 @@
 			b.level = min(b.level, u.Level+further) - further
 		}
 		p.assumed[u.Bucket] = 0
-		p.tokens[u.Bucket] = max(p.tokens[u.Bucket], u.Tokens)
+		p.tokens[u.Bucket] = u.Tokens
 	}
 	p.lastReport = now
 }
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -283,13 +283,17 @@
 		replace  time.Duration
 		// least is the fraction of the demand, or of the rate if lower, that must be admitted.
 		least float64
+		// refunds is the fraction of the admitted requests that are refunded.
+		refunds float64
 	}{
-		{"within the rate", 118, 0.5, 236 * time.Millisecond, 0, 0, 1},
-		{"within the rate, 300 entries", 300, 0.5, 600 * time.Millisecond, 0, 0, 1},
-		{"five times the rate", 118, 5, 236 * time.Millisecond, 0, 0, 0.95},
-		{"five times the rate, a sixth cut off", 118, 5, 236 * time.Millisecond, 20, 0, 0.8},
-		{"five times the rate, coordinators replaced", 118, 5, 236 * time.Millisecond, 0, 3 * time.Second, 0.95},
-		{"within the rate, coordinators replaced", 118, 0.5, 236 * time.Millisecond, 0, 3 * time.Second, 0.99},
+		{"within the rate", 118, 0.5, 236 * time.Millisecond, 0, 0, 1, 0},
+		{"within the rate, 300 entries", 300, 0.5, 600 * time.Millisecond, 0, 0, 1, 0},
+		{"five times the rate", 118, 5, 236 * time.Millisecond, 0, 0, 0.95, 0},
+		{"twice the rate, requests refunded", 118, 2, 236 * time.Millisecond, 0, 0, 0.95, 0.3},
+		{"within the rate, requests refunded", 118, 0.5, 236 * time.Millisecond, 0, 0, 1, 0.3},
+		{"five times the rate, a sixth cut off", 118, 5, 236 * time.Millisecond, 20, 0, 0.8, 0},
+		{"five times the rate, coordinators replaced", 118, 5, 236 * time.Millisecond, 0, 3 * time.Second, 0.95, 0},
+		{"within the rate, coordinators replaced", 118, 0.5, 236 * time.Millisecond, 0, 3 * time.Second, 0.99, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(1, 2))
@@ -300,6 +304,12 @@
 			const seconds = 30
 			type admitted struct{ at, tokens float64 }
 			var all []admitted
+			type refund struct {
+				at     time.Time
+				entry  *Meter
+				tokens int64
+			}
+			var refunds []refund
 			offered, got, owed := 0.0, 0.0, 0.0
 			perStep := test.demand * float64(l.TokensPerSecond) * step.Seconds()
 			for i := range int(seconds * time.Second / step) {
@@ -311,11 +321,22 @@
 					tokens := int64(500 + r.IntN(1500))
 					owed -= float64(tokens)
 					offered += float64(tokens)
-					if ok, _ := f.entries[r.IntN(test.entries)].Take(f.now, "c", l, tokens); ok {
+					entry := f.entries[r.IntN(test.entries)]
+					if ok, _ := entry.Take(f.now, "c", l, tokens); ok {
+						if r.Float64() < test.refunds {
+							// The request is refused 300 ms later; its tokens may be used again.
+							refunds = append(refunds, refund{f.now.Add(300 * time.Millisecond), entry, tokens})
+							offered -= float64(tokens)
+							continue
+						}
 						got += float64(tokens)
 						all = append(all, admitted{float64(i) * step.Seconds(), float64(tokens)})
 					}
 				}
+				for len(refunds) > 0 && !f.now.Before(refunds[0].at) {
+					refunds[0].entry.Refund(f.now, "c", l, refunds[0].tokens)
+					refunds = refunds[1:]
+				}
 				for e := test.cut; e < test.entries; e++ {
 					if (time.Duration(i)*step+time.Duration(e)*step)%test.interval < step {
 						f.report(e)
@@ -339,3 +360,37 @@
 		})
 	}
 }
+
+// TestRefundsExpire guards against refunds that entries keep and spend later on top of a bucket that has filled up again.
+func TestRefundsExpire(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 20_000, BurstTokens: 20_000}
+	f := newCoordinatedFleet(118, l)
+	for range 20 {
+		for i, m := range f.entries {
+			f.now = f.now.Add(100 * time.Millisecond)
+			if ok, _ := m.Take(f.now, "c", l, 2000); ok {
+				f.report(i)
+				m.Refund(f.now, "c", l, 2000)
+			}
+			f.report(i)
+		}
+	}
+	r := rand.New(rand.NewPCG(3, 4))
+	got := 0.0
+	const seconds, interval = 8, 236 * time.Millisecond
+	for step := range int(seconds * time.Second / (10 * time.Millisecond)) {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if ok, _ := f.entries[r.IntN(118)].Take(f.now, "c", l, 1000); ok {
+			got += 1000
+		}
+		for e := range f.entries {
+			if (time.Duration(step)*10*time.Millisecond+time.Duration(e)*10*time.Millisecond)%interval < 10*time.Millisecond {
+				f.report(e)
+			}
+		}
+	}
+	// Beyond rate and burst: what 100 requests per second of 1000 tokens each admit within one interval.
+	if most := seconds*20_000.0 + 20_000 + 100_000*interval.Seconds() + 1000; got > most {
+		t.Errorf("got %.0f tokens admitted within %d s, want at most %.0f", got, seconds, most)
+	}
+}
