Reserve only the prompt of a generation that the coordinator placed

Cause: engines keep a reservation for up to its lifetime after the generation has begun.

Change: reserve the prompt, and forecast the peak of memory plus two standard deviations instead of one.

--- a/entry/place/book.go
+++ b/entry/place/book.go
@@ -48,6 +48,9 @@
 	minRemainingShare = 0.3
 	// lengthDeviation is the standard deviation of the remaining output, as a share of the remaining output.
 	lengthDeviation = 0.6
+	// peakDeviations is the number of standard deviations that the forecast adds to the expected peak. A preempted
+	// generation costs as much as a served one, so that one in 40 placements may be wrong.
+	peakDeviations = 2
 	// unreportedLifetime is how long a placement counts that its entry has not reported: a few report intervals.
 	unreportedLifetime = 500 * time.Millisecond
 	// remoteEnginePenalty is the cost of a decode engine in another failure domain than the entry, as a share of the
@@ -289,7 +292,7 @@
 }
 
 // peak returns the largest memory in tokens that the engine's generations and a further one are expected to hold together,
-// plus one standard deviation. All generations grow at the same rate, so memory peaks just before one of them ends.
+// plus peakDeviations standard deviations. All generations grow at the same rate, so memory peaks just before one of them ends.
 func (b *Book) peak(now time.Time, e *bookEngine, g Generation) float64 {
 	type growth struct{ held, remaining float64 }
 	all := make([]growth, 0, len(e.generations)+1)
@@ -312,7 +315,7 @@
 			grown := min(x.remaining, y.remaining) * lengthDeviation
 			variance += grown * grown
 		}
-		peak = max(peak, held+x.remaining*float64(len(all)-i)+math.Sqrt(variance))
+		peak = max(peak, held+x.remaining*float64(len(all)-i)+peakDeviations*math.Sqrt(variance))
 		held -= x.held
 	}
 	return peak
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -17,12 +17,10 @@
 	// reserveTimeout bounds the call that reserves memory. An engine responds at once, so the timeout is as long as
 	// establishing a connection may take.
 	reserveTimeout = 150 * time.Millisecond
-	// reservedOutputShare is the share of the expected output for which memory must be free when the request is placed. Other
-	// generations on the engine end and free their memory while this one grows.
+	// reservedOutputShare is the share of the expected output for which an engine must have free memory if no coordinator
+	// placed the generation. Engines keep a reservation for some time after the generation has begun and preempt others in
+	// that time, so that a generation whose growth the coordinator has forecast reserves only its prompt.
 	reservedOutputShare = 0.6
-	// uncoordinatedOutputShare replaces reservedOutputShare for a generation that the coordinator has not placed: the
-	// engine may run generations that this entry does not know and that are still to grow.
-	uncoordinatedOutputShare = 2
 	// maxReserves bounds the reservation calls of one request.
 	maxReserves = 6
 	// maxResumeReserves bounds the reservation calls of a stream that resumes on another engine.
@@ -74,11 +72,10 @@
 
 // tokensToReserve returns how much memory the engine must have free for the request, in tokens.
 func (q *request) tokensToReserve(coordinated bool) int {
-	share := reservedOutputShare
-	if !coordinated && q.router.config.Placer != nil {
-		share = uncoordinatedOutputShare
+	if coordinated {
+		return max(1, q.call.PromptTokens)
 	}
-	return max(1, q.call.PromptTokens+int(share*float64(q.expectedOutput)))
+	return max(1, q.call.PromptTokens+int(reservedOutputShare*float64(q.expectedOutput)))
 }
 
 // reserveOutcome returns the outcome of a call that is made before the request itself is sent.
