Bound streams by progress, and responses that are none by bytes

Causes, each shown by a case of TestStalledStreamResumes or TestEndlessResponses that failed before: a stream whose engine sent comments or parts of an event now and then lasted until its deadline; lines without the end of an event grew in memory (91 MB in 1.2 s); the body of a response to another request was read without end (4 GB in 10 s); an event that was sent twice in one packet reached the caller twice.

Change: the next new event must arrive within the stall timeout as long as another engine can take over, whatever else arrives; an event, and the bytes between two new events, are at most 1 MiB; a streamed call skips at most 1 MiB of another response and bounds the time until its header is complete. Streams with slow events are kept (TestSlowStreamIsKept passed before).

--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -274,14 +274,23 @@
 	return body, nil
 }
 
-// maxMismatched limits the responses to other requests that one call skips.
-const maxMismatched = 3
+const (
+	// maxMismatched limits the responses to other requests that one call skips.
+	maxMismatched = 3
+	// maxMismatchedBytes limits the body of each of them in a streamed call.
+	maxMismatchedBytes = 1 << 20
+)
 
 // ErrMismatchedResponse means that each response that arrived belongs to another request.
 var ErrMismatchedResponse = errors.New("responses belong to other requests")
 
-// readMatching reads responses until one matches the call.
+// readMatching reads responses until one matches the call. In a streamed call it bounds the time until the header is complete,
+// so that bytes that arrive now and then do not extend it.
 func (c *pooledConn) readMatching(call Call, response *fasthttp.Response, stream bool) error {
+	if stream {
+		c.progressDeadline = time.Now().Add(c.firstByteTimeout + c.readTimeout)
+		defer func() { c.progressDeadline = time.Time{} }()
+	}
 	for range maxMismatched {
 		response.SkipBody = call.Request.Header.IsHead()
 		if err := response.ReadLimitBody(c.reader, call.MaxBody); err != nil {
@@ -291,7 +300,11 @@
 			return nil
 		}
 		if stream {
-			if _, err := io.Copy(io.Discard, response.BodyStream()); err != nil {
+			_, err := io.CopyN(io.Discard, response.BodyStream(), maxMismatchedBytes)
+			if err == nil {
+				return ErrMismatchedResponse
+			}
+			if err != io.EOF { //nolint:errorlint // CopyN returns io.EOF bare
 				return err //nolint:wrapcheck // wrapped by the call
 			}
 			// Closing the stream only returns it to its pool.
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -49,6 +49,13 @@
 // errTruncatedStream means that a stream ended in the middle of an event.
 var errTruncatedStream = errors.New("stream ended in the middle of an event")
 
+// Errors of streams whose upstreams send too many bytes: an event is larger than maxEventBytes, or as many bytes came without
+// an event that has a new ID.
+var (
+	errLargeEvent = errors.New("event is too large")
+	errNoProgress = errors.New("too many bytes came without a new event")
+)
+
 // serveStream serves a request whose response is an event stream.
 func (q *request) serveStream() {
 	lastID := ""
@@ -291,13 +298,13 @@
 func (q *request) relay(s *attempt, lastID *string) bool {
 	reader := bufio.NewReaderSize(s.body, 8<<10)
 	first := true
-	if q.idempotent() && q.possibleRuns+1 < q.route.MaxAttempts {
-		s.body.SetProgressDeadline(time.Now().Add(streamStallTimeout))
-	} else {
-		s.body.SetProgressDeadline(q.deadline)
-	}
+	q.expectEvent(s)
+	withoutProgress := 0
 	for {
 		event, err := readEvent(reader)
+		if withoutProgress += len(event); err == nil && withoutProgress > maxEventBytes {
+			err = errNoProgress
+		}
 		if err != nil {
 			return q.endRelay(s, err)
 		}
@@ -306,12 +313,15 @@
 			if *lastID == "" && q.trace.firstEvent == 0 {
 				q.trace.firstEvent = time.Since(q.x.Arrived)
 			}
-			s.body.SetProgressDeadline(time.Time{})
 		}
 		id := eventID(event)
 		if id != "" && !isNewer(id, *lastID) {
 			continue
 		}
+		if id != "" || hasData(event) {
+			withoutProgress = 0
+			q.expectEvent(s)
+		}
 		if !q.x.HeaderWritten() {
 			if err := q.x.WriteHeader(&s.response.Header); err != nil {
 				return q.endRelay(s, err)
@@ -322,8 +332,13 @@
 			if !ok {
 				break
 			}
+			moreID := eventID(more)
+			if moreID != "" && !isNewer(moreID, id) {
+				withoutProgress += len(more)
+				continue
+			}
 			event = append(event, more...)
-			id = firstNonEmpty(eventID(more), id)
+			id = firstNonEmpty(moreID, id)
 		}
 		if err := q.x.WriteChunk(event); err != nil {
 			s.err = err
@@ -336,6 +351,16 @@
 	}
 }
 
+// expectEvent sets the time by which the next event with a new ID must arrive. Bytes that are no such event, such as comments,
+// do not extend it. If no other engine can take over, only the deadline of the request bounds the stream.
+func (q *request) expectEvent(s *attempt) {
+	if q.idempotent() && q.possibleRuns+1 < q.route.MaxAttempts {
+		s.body.SetProgressDeadline(time.Now().Add(streamStallTimeout))
+	} else {
+		s.body.SetProgressDeadline(q.deadline)
+	}
+}
+
 // recordEvents counts forwarded events, and adds work to the upstream if the generation exceeds its expected length.
 func (q *request) recordEvents(s *attempt, events []byte) {
 	q.trace.recordEvents(time.Now(), bytes.Count(events, []byte("\n\n")))
@@ -392,7 +417,9 @@
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
+		case len(event) > maxEventBytes:
+			return nil, errLargeEvent
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF && len(event) == 0:
 			return nil, io.EOF
@@ -430,6 +457,11 @@
 	return ""
 }
 
+// hasData reports whether an event has a data field. An event without one, such as a comment, is no progress.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:"))
+}
+
 // isNewer reports whether the event id comes after last. IDs that are not numbers count as newer if they differ.
 func isNewer(id, last string) bool {
 	a, errA := strconv.ParseUint(id, 10, 64)
