--- a/entry/web/place.go
+++ b/entry/web/place.go
@@ -24,7 +24,10 @@
 // findEngines asks the coordinator for engines. The entry chooses the decode engine itself if no coordinator answers. The
 // engines in full have just refused a reservation.
 func (q *request) findEngines(until time.Time, full []string) (placement, *refusal) {
+	start := time.Now()
+	defer func() { q.trace.placeTime += time.Since(start) }()
 	if q.router.config.Placer != nil && q.document.Services[q.service].Engine != nil {
+		q.trace.placedBy = "coordinator"
 		p, refused, err := q.askCoordinator(until, full)
 		if err == nil {
 			return p, refused
@@ -33,6 +36,7 @@
 			return placement{}, q.unavailableRefusal(err)
 		}
 	}
+	q.trace.placedBy = "entry"
 	u, err := q.router.pick(q.ctx, q.need, until)
 	if err != nil {
 		return placement{}, q.unavailableRefusal(err)
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -25,6 +25,10 @@
 	lastEventAt time.Time
 	reason      string
 	attempts    []string
+	// placedBy is "coordinator" or "entry" once engines were chosen for a generation, and placeTime is the time that all
+	// choices took, including the wait for memory.
+	placedBy  string
+	placeTime time.Duration
 	// refusedTokens is the number of tokens that the customer's limit refused, 0 if the limit did not refuse the request.
 	refusedTokens int64
 }
@@ -97,6 +101,9 @@
 		if q.need.Work > 1 {
 			e.Int("promptTokens", q.call.PromptTokens).Int("maxTokens", q.call.MaxTokens)
 		}
+		if q.trace.placedBy != "" {
+			e.Str("placedBy", q.trace.placedBy).Int64("placeMs", q.trace.placeTime.Milliseconds()).Int("expectedTokens", q.expectedOutput).Bool("late", q.late)
+		}
 		if q.trace.refusedTokens > 0 {
 			e.Int64("charge", q.trace.refusedTokens).Int64("limitPerSecond", q.customer.Limit.TokensPerSecond).Int64("limitBurst", q.customer.Limit.BurstTokens)
 		}
