Let the coordinator decide on customers near their limits

Cause: each of 118 entries admitted one large request whenever its copy of a bucket was above zero, and a coordinator that took over started with full buckets. An entry that was cut off kept a whole burst.

Change: below half of the burst an entry asks the coordinator for each request; levels are not raised by a coordinator that has just taken over; an entry without a coordinator has its share of the burst as well as of the rate. Customers within their limits still wait for nobody.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -62,7 +62,7 @@
 var (
 	errResigned       = status.Error(codes.Unavailable, "this entry is stopping")
 	errNoSession      = status.Error(codes.Unavailable, "this entry has no session")
-	errUnknownSession = status.Error(codes.FailedPrecondition, "the session is not in this entry's view")
+	errUnknownSession = status.Error(codes.FailedPrecondition, "the session or the customer is not in this entry's view")
 )
 
 // Resign makes the entries choose another coordinator. It is called when the entry begins to stop.
@@ -154,6 +154,22 @@
 	return response, nil
 }
 
+// Charge implements fleetpb.PeerServer.
+func (c *Coordinator) Charge(_ context.Context, r *fleetpb.ChargeRequest) (*fleetpb.ChargeResponse, error) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, err := c.ready(now); err != nil {
+		return nil, err
+	}
+	l, ok := c.view.Limit(r.Customer)
+	if !ok || c.view.Sessions[r.SessionId] == nil {
+		return nil, errUnknownSession
+	}
+	admitted, retryAfter := c.meter.Charge(now, r.SessionId, r.Customer, l, r.Tokens, float64(r.Level))
+	return &fleetpb.ChargeResponse{Admitted: admitted, RetryAfterMillis: uint32(retryAfter.Milliseconds())}, nil
+}
+
 func (c *Coordinator) observeGenerations(now time.Time, report *fleetpb.UseReport) {
 	generations := make([]place.Generation, 0, len(report.Generations))
 	for _, g := range report.Generations {
--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -9,6 +9,8 @@
 const (
 	// DefaultSilence is the default of Meter.Silence.
 	DefaultSilence = time.Second
+	// nearLimitShare is the share of a bucket's burst below which it is near its limit.
+	nearLimitShare = 0.5
 	// refusedWorkWindow limits the refused work that counts towards a retry delay, in time at the rate of the limit.
 	refusedWorkWindow = 2 * time.Second
 )
@@ -35,8 +37,8 @@
 // the rate for the peer.
 //
 // In a fleet with a coordinator, the coordinator's meter observes the reports of all entries, and the meters of the
-// entries have no peers: Confirm adopts the levels of the coordinator. An entry without confirmation refills its buckets
-// at its equal share of the rate.
+// entries have no peers: Confirm adopts the levels of the coordinator. An entry without confirmation has its equal share
+// of each rate and burst.
 //
 // A Meter is not safe for concurrent use.
 type Meter struct {
@@ -48,6 +50,8 @@
 	// entries is the number of entries that share the limits through a coordinator, or 0 without one.
 	entries     int
 	confirmedAt time.Time
+	// confirmedBy is the session of the coordinator whose levels were adopted last.
+	confirmedBy uint64
 }
 
 type meterBucket struct {
@@ -121,10 +125,11 @@
 			gain -= share
 		}
 	}
+	burst := float64(b.limit.BurstTokens)
 	if m.entries > 1 && now.Sub(m.confirmedAt) > m.Silence {
-		gain /= float64(m.entries)
+		gain, burst = gain/float64(m.entries), burst/float64(m.entries)
 	}
-	b.level = min(b.level+gain, float64(b.limit.BurstTokens))
+	b.level = min(b.level+gain, burst)
 	b.refusedWork = max(0, b.refusedWork-gain)
 }
 
@@ -141,6 +146,43 @@
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
+// NearLimit reports whether a bucket is so low that the entries together could exceed the limit before they hear of each
+// other, so that the coordinator has to decide.
+func (m *Meter) NearLimit(now time.Time, name string, limit config.Limit) bool {
+	return m.entries > 1 && m.bucket(now, name, limit).level < nearLimitShare*float64(limit.BurstTokens)
+}
+
+// Admit charges a request that the coordinator has admitted.
+func (m *Meter) Admit(now time.Time, name string, limit config.Limit, tokens int64) {
+	b := m.bucket(now, name, limit)
+	b.level -= float64(tokens)
+	b.admitted += tokens
+}
+
+// Level returns the tokens left in a bucket.
+func (m *Meter) Level(now time.Time, name string, limit config.Limit) float64 {
+	return m.bucket(now, name, limit).level
+}
+
+// Charge is Take for a request at a peer that waits for the result. The next report of the peer holds the tokens. Level is
+// what the peer believes is left in the bucket; it counts if the peer has not reported lately, because this meter may have
+// taken over from another coordinator.
+func (m *Meter) Charge(now time.Time, session uint64, name string, limit config.Limit, tokens int64, level float64) (ok bool, retryAfter time.Duration) {
+	b := m.bucket(now, name, limit)
+	if p := m.peers[session]; p == nil || len(p.tokens) == 0 || now.Sub(p.lastReport) > m.Silence {
+		b.level = min(b.level, level)
+	}
+	admitted := b.admitted
+	ok, retryAfter = m.Take(now, name, limit, tokens)
+	b.admitted = admitted
+	if p := m.peers[session]; ok && p != nil {
+		if _, known := p.tokens[name]; known || len(p.tokens) > 0 {
+			p.tokens[name] += tokens
+		}
+	}
+	return ok, retryAfter
+}
+
 // Refund returns the tokens of a request that did not run.
 func (m *Meter) Refund(now time.Time, name string, limit config.Limit, tokens int64) {
 	b := m.bucket(now, name, limit)
@@ -158,10 +200,12 @@
 	return uses
 }
 
-// Confirm adopts the coordinator's levels after a report of this entry. Buckets of the report that the response lacks are
-// full.
-func (m *Meter) Confirm(now time.Time, reported, levels []Use, limits func(bucket string) (config.Limit, bool)) {
-	m.confirmedAt = now
+// Confirm adopts the levels of a coordinator, given by its session, after a report of this entry. Buckets of the report that
+// the response lacks are full. A coordinator that has just taken over does not raise levels, because it has not heard from
+// all entries yet.
+func (m *Meter) Confirm(now time.Time, coordinator uint64, reported, levels []Use, limits func(bucket string) (config.Limit, bool)) {
+	another := m.confirmedBy != 0 && m.confirmedBy != coordinator
+	m.confirmedAt, m.confirmedBy = now, coordinator
 	tokens := make(map[string]int64, len(reported))
 	for _, u := range reported {
 		tokens[u.Bucket] = u.Tokens
@@ -170,7 +214,11 @@
 		b := m.bucket(now, name, limit)
 		b.acknowledged = tokens[name]
 		// Tokens admitted or refunded since the report are not in the level.
-		b.level = min(level-float64(b.admitted-tokens[name]), float64(limit.BurstTokens))
+		level = min(level-float64(b.admitted-tokens[name]), float64(limit.BurstTokens))
+		if another {
+			level = min(level, b.level)
+		}
+		b.level = level
 	}
 	for _, u := range levels {
 		if limit, ok := limits(u.Bucket); ok {
@@ -197,18 +245,19 @@
 	if p == nil {
 		return
 	}
-	first := len(p.tokens) == 0
+	// A peer that was silent may have reported to another coordinator.
+	first := len(p.tokens) == 0 || now.Sub(p.lastReport) > m.Silence
 	for _, u := range uses {
 		limit, ok := limits(u.Bucket)
 		if !ok {
 			continue
 		}
 		b := m.bucket(now, u.Bucket, limit)
-		if last, known := p.tokens[u.Bucket]; known || !first {
+		if last := p.tokens[u.Bucket]; !first {
 			used := float64(u.Tokens-last) - p.assumed[u.Bucket]
 			b.level = min(b.level-used, float64(limit.BurstTokens))
 		} else {
-			// This is the peer's first report. Its total includes use that an earlier coordinator counted, so the level
+			// This is the peer's first report, or the first one again. Its total includes use that an earlier coordinator counted, so the level
 			// is compared at the time of the last acknowledged report.
 			further := float64(u.Tokens - u.Acknowledged)
 			b.level = min(b.level, u.Level+further) - further
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -230,8 +230,10 @@
 type coordinatedFleet struct {
 	entries     []*Meter
 	coordinator *Meter
-	now         time.Time
-	limit       config.Limit
+	// session is the session of the coordinator.
+	session uint64
+	now     time.Time
+	limit   config.Limit
 }
 
 func newCoordinatedFleet(n int, l config.Limit) *coordinatedFleet {
@@ -248,6 +250,7 @@
 
 func (f *coordinatedFleet) replaceCoordinator() {
 	f.coordinator = NewMeter()
+	f.session++
 	var sessions []uint64
 	for i := range f.entries {
 		sessions = append(sessions, uint64(i))
@@ -265,7 +268,21 @@
 			levels = append(levels, u)
 		}
 	}
-	f.entries[i].Confirm(f.now, uses, levels, limits)
+	f.entries[i].Confirm(f.now, f.session, uses, levels, limits)
+}
+
+// take charges a request as an entry does: near the limit, the coordinator decides.
+func (f *coordinatedFleet) take(entry int, tokens int64, reached bool) bool {
+	m := f.entries[entry]
+	if reached && m.NearLimit(f.now, "c", f.limit) {
+		ok, _ := f.coordinator.Charge(f.now, uint64(entry), "c", f.limit, tokens, m.Level(f.now, "c", f.limit))
+		if ok {
+			m.Admit(f.now, "c", f.limit, tokens)
+		}
+		return ok
+	}
+	ok, _ := m.Take(f.now, "c", f.limit, tokens)
+	return ok
 }
 
 // TestCoordinatedLimit guards against a customer that exceeds its rate through the entries of a large fleet, also while
@@ -321,8 +338,9 @@
 					tokens := int64(500 + r.IntN(1500))
 					owed -= float64(tokens)
 					offered += float64(tokens)
-					entry := f.entries[r.IntN(test.entries)]
-					if ok, _ := entry.Take(f.now, "c", l, tokens); ok {
+					index := r.IntN(test.entries)
+					entry := f.entries[index]
+					if f.take(index, tokens, index >= test.cut) {
 						if r.Float64() < test.refunds {
 							// The request is refused 300 ms later; its tokens may be used again.
 							refunds = append(refunds, refund{f.now.Add(300 * time.Millisecond), entry, tokens})
@@ -343,8 +361,10 @@
 					}
 				}
 			}
-			// Beyond rate and burst: what is admitted within one interval, and a request of each entry.
-			most := 8*float64(l.TokensPerSecond) + float64(l.BurstTokens) + test.demand*20_000*test.interval.Seconds() + 118*2000
+			// Beyond rate and burst: what is admitted within one interval, and by entries that are cut off until they
+			// notice it, and a request of each of these.
+			unaware := test.interval.Seconds() + float64(test.cut)/float64(test.entries)*DefaultSilence.Seconds()
+			most := 8*float64(l.TokensPerSecond) + float64(l.BurstTokens) + test.demand*20_000*unaware + float64(1+test.cut)*2000
 			for i := range all {
 				sum := 0.0
 				for j := i; j < len(all) && all[j].at < all[i].at+8; j++ {
@@ -380,7 +400,7 @@
 	const seconds, interval = 8, 236 * time.Millisecond
 	for step := range int(seconds * time.Second / (10 * time.Millisecond)) {
 		f.now = f.now.Add(10 * time.Millisecond)
-		if ok, _ := f.entries[r.IntN(118)].Take(f.now, "c", l, 1000); ok {
+		if f.take(r.IntN(118), 1000, true) {
 			got += 1000
 		}
 		for e := range f.entries {
@@ -394,3 +414,57 @@
 		t.Errorf("got %.0f tokens admitted within %d s, want at most %.0f", got, seconds, most)
 	}
 }
+
+// TestLargeRequestsAtManyEntries guards against one large request of a customer at each entry whenever its bucket is above
+// zero, which exceeds the limit several times in a large fleet, and against coordinators that take turns and each start with
+// a full bucket.
+func TestLargeRequestsAtManyEntries(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 150_000, BurstTokens: 150_000}
+	const entries, request, seconds, interval = 118, 17_000, 24, 240 * time.Millisecond
+	for name, test := range map[string]struct {
+		turns time.Duration
+		least float64
+	}{
+		"one coordinator": {0, 0.9},
+		// Coordinators withhold the shares of entries that report elsewhere until they count as silent.
+		"coordinators take turns": {700 * time.Millisecond, 0.6},
+	} {
+		f := newCoordinatedFleet(entries, l)
+		coordinators := []*Meter{f.coordinator}
+		for range 4 {
+			f.replaceCoordinator()
+			coordinators = append(coordinators, f.coordinator)
+		}
+		r := rand.New(rand.NewPCG(7, 8))
+		var at []float64
+		for step := range int(seconds * time.Second / (10 * time.Millisecond)) {
+			f.now = f.now.Add(10 * time.Millisecond)
+			if test.turns > 0 {
+				i := int(time.Duration(step) * 10 * time.Millisecond / test.turns)
+				f.coordinator, f.session = coordinators[i%5], uint64(i%5+1)
+			}
+			// Five times the rate: 45 requests per second.
+			if r.Float64() < 0.45 && f.take(r.IntN(entries), request, true) {
+				at = append(at, float64(step)/100)
+			}
+			for e := range entries {
+				if (time.Duration(step)*10*time.Millisecond+time.Duration(e)*10*time.Millisecond)%interval < 10*time.Millisecond {
+					f.report(e)
+				}
+			}
+		}
+		for i := range at {
+			n := 0
+			for n+i < len(at) && at[i+n] < at[i]+8 {
+				n++
+			}
+			// The limit with a tenth and 120,000 tokens above it.
+			if got, most := n*request, int(1.1*9*150_000)+120_000; got > most {
+				t.Fatalf("%s: got %d tokens within 8 s from %.1f s, want at most %d", name, got, at[i], most)
+			}
+		}
+		if got, want := float64(len(at)*request), test.least*seconds*150_000; got < want {
+			t.Errorf("%s: got %.0f tokens admitted, want at least %.0f", name, got, want)
+		}
+	}
+}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -33,6 +33,8 @@
 	// reportTimeout bounds one report. It allows for a packet that is lost and sent again twice, because entries that
 	// choose another coordinator for each lost packet place generations without knowledge of the others.
 	reportTimeout = 650 * time.Millisecond
+	// chargeTimeout bounds the call that charges a customer near its limit.
+	chargeTimeout = 100 * time.Millisecond
 	// placeTimeout bounds the first response to a placement.
 	placeTimeout = 250 * time.Millisecond
 	// minAvoidance is how long a coordinator that failed is not asked again. It doubles with each failure up to
@@ -53,6 +55,7 @@
 // Coordinator is the coordinator in this process. It is used while this entry has the oldest session.
 type Coordinator interface {
 	Report(ctx context.Context, report *fleetpb.UseReport) (*fleetpb.FleetUse, error)
+	Charge(ctx context.Context, r *fleetpb.ChargeRequest) (*fleetpb.ChargeResponse, error)
 	PlaceGeneration(ctx context.Context, r *fleetpb.PlaceRequest, waiting func() error) (*fleetpb.PlaceResponse, error)
 }
 
@@ -120,11 +123,54 @@
 // after which to retry.
 func (l *Limiter) Take(bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.touched = true
+	current := l.current
+	ask := current != 0 && l.meter.NearLimit(time.Now(), bucket, bucketLimit)
+	level := l.meter.Level(time.Now(), bucket, bucketLimit)
+	l.mu.Unlock()
+	if ask {
+		if response, err := l.charge(current, bucket, tokens, level); err == nil {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if response.Admitted {
+				l.meter.Admit(time.Now(), bucket, bucketLimit, tokens)
+			}
+			return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
+		}
+		// The entry decides by its own copy of the bucket.
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.meter.Take(time.Now(), bucket, bucketLimit, tokens)
 }
 
+// charge asks the coordinator to charge a customer.
+func (l *Limiter) charge(coordinator uint64, bucket string, tokens int64, level float64) (*fleetpb.ChargeResponse, error) {
+	own, _ := l.config.Control.SessionID()
+	request := &fleetpb.ChargeRequest{SessionId: own, Customer: bucket, Tokens: tokens, Level: int64(level)}
+	ctx, cancel := context.WithTimeout(context.Background(), chargeTimeout)
+	defer cancel()
+	var response *fleetpb.ChargeResponse
+	var err error
+	if coordinator == own {
+		response, err = l.config.Coordinator.Charge(ctx, request)
+	} else {
+		peer := l.config.Control.View().Sessions[coordinator]
+		if peer == nil {
+			return nil, errNoCoordinator
+		}
+		var conn *grpc.ClientConn
+		if conn, err = l.peerConn(peer); err != nil {
+			return nil, err
+		}
+		response, err = fleetpb.NewPeerClient(conn).Charge(ctx, request)
+	}
+	if err != nil {
+		l.Changed()
+	}
+	return response, err
+}
+
 // Refund returns the tokens of a request that was not run.
 func (l *Limiter) Refund(bucket string, bucketLimit config.Limit, tokens int64) {
 	l.mu.Lock()
@@ -352,7 +398,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.meter.Confirm(time.Now(), reported, levels, view.Limit)
+	l.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
 }
 
 func (l *Limiter) peerConn(peer *fleetpb.Session) (*grpc.ClientConn, error) {
