--- a/core/fleetrpc/connect_test.go
+++ b/core/fleetrpc/connect_test.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	began := time.Now()
-	_, err = fleetpb.NewPeerClient(conn).ExchangeUse(ctx, &fleetpb.UseReport{})
+	_, err = fleetpb.NewPeerClient(conn).Report(ctx, &fleetpb.UseReport{})
 	if took := time.Since(began); err == nil || took > 2*connectTimeout {
 		t.Errorf("got error %v after %v, want one within %v", err, took, 2*connectTimeout)
 	}
