Bound the time of a prefill that is observed

Cause: prompts that faults had delayed lowered the observed rate of prefill engines.

Change: a prefill counts as at most 1.25 times the expected time.

--- a/entry/place/book_test.go
+++ b/entry/place/book_test.go
@@ -429,3 +429,27 @@
 		t.Errorf("late caller: got %v, want a placement", r.Err)
 	}
 }
+
+// TestPrefillSpeedAfterFaults guards against prefill engines that are taken for slow after some prompts were delayed by faults.
+// Decode engines would then process prompts between the tokens of other generations, and no prefill would correct the speed.
+func TestPrefillSpeedAfterFaults(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	table := NewTable(0)
+	observe := func(n int, delay time.Duration) {
+		for range n {
+			tokens := 2000 + r.IntN(8000)
+			took := time.Duration(float64(tokens) / 50 * float64(time.Millisecond))
+			table.ObservePrefill(tokens, took+time.Duration(r.Int64N(int64(delay)+1)))
+		}
+	}
+	observe(100, 10*time.Millisecond)
+	for burst := range 20 {
+		// Links and engines are slow for some prompts.
+		observe(10, 1500*time.Millisecond)
+		rate, _ := table.PrefillSpeed()
+		if rate > 0 && rate < 25 {
+			t.Fatalf("burst %d: got %.1f tokens/ms, want at least half of 50, as the time per token has not changed", burst, rate)
+		}
+		observe(10, 10*time.Millisecond)
+	}
+}
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -23,6 +23,9 @@
 	maxPrefillRateGrowth = 1.05
 	// minPrefillTimeShare is the least time of a prefill that is observed, as a share of the expected time, for the same reason.
 	minPrefillTimeShare = 0.7
+	// maxPrefillTimeShare is the longest time of a prefill that is observed, as a share of the expected time, because faults
+	// delay single prompts without any change of the speed.
+	maxPrefillTimeShare = 1.25
 	// maxPrefillRateFactor bounds how far the observed rate may be from the initial one.
 	maxPrefillRateFactor = 10
 	// TransferOverhead is the time added by moving a prefill result to a decode engine.
@@ -68,7 +71,8 @@
 		return
 	}
 	expected := t.PrefillTime(float64(tokens)) + t.prefillDelay
-	t.prefills.observe(tokens, max(took, time.Duration(minPrefillTimeShare*float64(expected))))
+	shortest, longest := minPrefillTimeShare*float64(expected), maxPrefillTimeShare*float64(expected)
+	t.prefills.observe(tokens, time.Duration(min(max(float64(took), shortest), longest)))
 	if rate, delay, ok := t.prefills.estimate(); ok {
 		t.prefillRate, t.prefillDelay = rate, delay
 		return
