--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -285,7 +285,7 @@
 var ErrMismatchedResponse = errors.New("responses belong to other requests")
 
 // readMatching reads responses until one matches the call. In a streamed call it bounds the time until the header is complete,
-// so that bytes that arrive now and then do not extend it.
+// so that bytes that arrive at intervals do not extend it.
 func (c *pooledConn) readMatching(call Call, response *fasthttp.Response, stream bool) error {
 	if stream {
 		c.progressDeadline = time.Now().Add(c.firstByteTimeout + c.readTimeout)
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -169,7 +169,7 @@
 	events  *event.Logger
 	metrics *metric.Root
 	fleet   *control.Client
-	limiter *usage.Limiter
+	limiter *usage.Client
 	// coordinator serves the other entries while they choose this one.
 	coordinator *coordinator.Coordinator
 	// roles controls the roles of engines.
--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -152,8 +152,8 @@
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
-// NearLimit reports whether a bucket is so low that the entries together could exceed the limit before they hear of each
-// other, so that the coordinator has to decide.
+// NearLimit reports whether a bucket is so low that the entries together could exceed the limit between two reports, so that
+// the coordinator has to decide.
 func (m *Meter) NearLimit(now time.Time, name string, limit config.Limit) bool {
 	return m.entries > 1 && m.bucket(now, name, limit).level < nearLimitShare*float64(limit.BurstTokens)
 }
@@ -178,13 +178,12 @@
 	if p := m.peers[session]; p == nil || len(p.tokens) == 0 || now.Sub(p.lastReport) > m.Silence {
 		b.level = min(b.level, level)
 	}
+	// The peer, not this entry, reports the tokens.
 	admitted := b.admitted
 	ok, retryAfter = m.Take(now, name, limit, tokens)
 	b.admitted = admitted
-	if p := m.peers[session]; ok && p != nil {
-		if _, known := p.tokens[name]; known || len(p.tokens) > 0 {
-			p.tokens[name] += tokens
-		}
+	if p := m.peers[session]; ok && p != nil && len(p.tokens) > 0 {
+		p.tokens[name] += tokens
 	}
 	return ok, retryAfter
 }
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -286,7 +286,7 @@
 
 // TestCoordinatedLimit guards against a customer that exceeds its rate through the entries of a large fleet, also while
 // the coordinator is replaced or some entries reach none, and against a large fleet that refuses a customer within its
-// rate because each entry hears of the others seldom.
+// rate because the reports of the other entries are old.
 func TestCoordinatedLimit(t *testing.T) {
 	l := config.Limit{TokensPerSecond: 20_000, BurstTokens: 20_000}
 	const step = 10 * time.Millisecond
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -11,9 +11,9 @@
 // a burst, a generation is refused at once if those before it are expected to take the memory that becomes free while it
 // may wait. A Queue is not safe for concurrent use.
 type Queue struct {
-	book    *Book
-	returns map[string]*RetryEstimator
-	waiting []*Waiting
+	book       *Book
+	estimators map[string]*RetryEstimator
+	waiting    []*Waiting
 }
 
 // Waiting is a generation in a queue.
@@ -37,14 +37,14 @@
 }
 
 // NewQueue returns an empty queue of generations that the book places.
-func NewQueue(book *Book) *Queue { return &Queue{book: book, returns: map[string]*RetryEstimator{}} }
+func NewQueue(book *Book) *Queue { return &Queue{book: book, estimators: map[string]*RetryEstimator{}} }
 
 // estimator returns the estimator of when refused callers of a service return.
 func (q *Queue) estimator(service string) *RetryEstimator {
-	r := q.returns[service]
+	r := q.estimators[service]
 	if r == nil {
 		r = &RetryEstimator{}
-		q.returns[service] = r
+		q.estimators[service] = r
 	}
 	return r
 }
--- a/entry/usage/place.go
+++ b/entry/usage/place.go
@@ -43,11 +43,11 @@
 
 // Place asks the coordinator for the engines of a generation. Its error is nil, place.ErrBusy, place.ErrNone,
 // ErrNoCoordinator or the cause of the end of the context.
-func (l *Limiter) Place(ctx context.Context, need PlaceNeed) (PlaceResult, error) {
-	own, _ := l.config.Control.SessionID()
-	l.mu.Lock()
-	id := l.current
-	l.mu.Unlock()
+func (c *Client) Place(ctx context.Context, need PlaceNeed) (PlaceResult, error) {
+	own, _ := c.config.Control.SessionID()
+	c.mu.Lock()
+	id := c.current
+	c.mu.Unlock()
 	if id == 0 || own == 0 {
 		return PlaceResult{}, ErrNoCoordinator
 	}
@@ -57,46 +57,46 @@
 		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
 		Late: need.Late,
 	}
-	response, err := l.callPlace(ctx, own, id, request, need.Wait)
+	response, err := c.callPlace(ctx, own, id, request, need.Wait)
 	switch {
 	case err == nil:
 		return placeResult(response)
 	case ctx.Err() != nil:
 		return PlaceResult{}, context.Cause(ctx) //nolint:wrapcheck // callers check the cause
 	case status.Code(err) == codes.Unavailable:
-		l.coordinatorFailed(id)
+		c.coordinatorFailed(id)
 	default:
 		// The next report finds out whether the coordinator responds at all.
-		l.Changed()
+		c.Changed()
 	}
 	return PlaceResult{}, ErrNoCoordinator
 }
 
 // coordinatorFailed makes the next report choose another coordinator.
-func (l *Limiter) coordinatorFailed(id uint64) {
-	l.avoid(id)
-	l.mu.Lock()
-	if l.current == id {
-		l.current = 0
+func (c *Client) coordinatorFailed(id uint64) {
+	c.avoid(id)
+	c.mu.Lock()
+	if c.current == id {
+		c.current = 0
 	}
-	l.mu.Unlock()
-	l.loads.Observe(id, nil)
-	l.Changed()
+	c.mu.Unlock()
+	c.loads.Observe(id, nil)
+	c.Changed()
 }
 
 // callPlace calls the coordinator. The first response has to arrive within placeTimeout, so that a coordinator that has
 // failed is noticed before the generation has waited.
-func (l *Limiter) callPlace(ctx context.Context, own, id uint64, request *fleetpb.PlaceRequest, wait time.Duration) (*fleetpb.PlaceResponse, error) {
+func (c *Client) callPlace(ctx context.Context, own, id uint64, request *fleetpb.PlaceRequest, wait time.Duration) (*fleetpb.PlaceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+placeTimeout)
 	defer cancel()
 	if id == own {
-		return l.config.Coordinator.PlaceGeneration(ctx, request, func() error { return nil })
+		return c.config.Coordinator.PlaceGeneration(ctx, request, func() error { return nil })
 	}
-	peer := l.config.Control.View().Sessions[id]
+	peer := c.config.Control.View().Sessions[id]
 	if peer == nil {
 		return nil, status.Error(codes.Unavailable, "the session of the coordinator has ended")
 	}
-	conn, err := l.peerConn(peer)
+	conn, err := c.peerConn(peer)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -76,7 +76,7 @@
 	PrefillSpeed() (rate float64, delay time.Duration)
 }
 
-// Config configures a Limiter.
+// Config configures a Client.
 type Config struct {
 	Control     Control
 	Dialer      fleetrpc.Dialer
@@ -86,8 +86,8 @@
 	Changing func() map[string]uint64
 }
 
-// Limiter admits requests within customers' limits, and places generations. It is safe for concurrent use.
-type Limiter struct {
+// Client admits requests within customers' limits, and places generations. It is safe for concurrent use.
+type Client struct {
 	config Config
 	loads  Loads
 	kick   chan struct{}
@@ -109,93 +109,93 @@
 }
 
 // New returns a limiter without loads; see SetLoads. Run exchanges its reports.
-func New(c Config) *Limiter {
-	return &Limiter{
+func New(c Config) *Client {
+	return &Client{
 		config: c, meter: limit.NewMeter(), conns: map[uint64]*grpc.ClientConn{}, avoided: map[uint64]avoidance{},
 		kick: make(chan struct{}, 1),
 	}
 }
 
 // SetLoads sets the source of the loads in reports. It must be called before Run.
-func (l *Limiter) SetLoads(loads Loads) { l.loads = loads }
+func (c *Client) SetLoads(loads Loads) { c.loads = loads }
 
 // Take reports whether a request of a customer is admitted, and charges its tokens if so. Otherwise, Take returns the time
 // after which to retry.
-func (l *Limiter) Take(bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
-	l.mu.Lock()
-	l.touched = true
-	current := l.current
-	ask := current != 0 && l.meter.NearLimit(time.Now(), bucket, bucketLimit)
-	level := l.meter.Level(time.Now(), bucket, bucketLimit)
-	l.mu.Unlock()
+func (c *Client) Take(bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
+	c.mu.Lock()
+	c.touched = true
+	current := c.current
+	ask := current != 0 && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
+	level := c.meter.Level(time.Now(), bucket, bucketLimit)
+	c.mu.Unlock()
 	if ask {
-		if response, err := l.charge(current, bucket, tokens, level); err == nil {
-			l.mu.Lock()
-			defer l.mu.Unlock()
+		if response, err := c.charge(current, bucket, tokens, level); err == nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			if response.Admitted {
-				l.meter.Admit(time.Now(), bucket, bucketLimit, tokens)
+				c.meter.Admit(time.Now(), bucket, bucketLimit, tokens)
 			}
 			return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
 		}
 		// The entry decides by its own copy of the bucket.
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.meter.Take(time.Now(), bucket, bucketLimit, tokens)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.meter.Take(time.Now(), bucket, bucketLimit, tokens)
 }
 
 // charge asks the coordinator to charge a customer.
-func (l *Limiter) charge(coordinator uint64, bucket string, tokens int64, level float64) (*fleetpb.ChargeResponse, error) {
-	own, _ := l.config.Control.SessionID()
+func (c *Client) charge(coordinator uint64, bucket string, tokens int64, level float64) (*fleetpb.ChargeResponse, error) {
+	own, _ := c.config.Control.SessionID()
 	request := &fleetpb.ChargeRequest{SessionId: own, Customer: bucket, Tokens: tokens, Level: int64(level)}
 	ctx, cancel := context.WithTimeout(context.Background(), chargeTimeout)
 	defer cancel()
 	var response *fleetpb.ChargeResponse
 	var err error
 	if coordinator == own {
-		response, err = l.config.Coordinator.Charge(ctx, request)
+		response, err = c.config.Coordinator.Charge(ctx, request)
 	} else {
-		peer := l.config.Control.View().Sessions[coordinator]
+		peer := c.config.Control.View().Sessions[coordinator]
 		if peer == nil {
 			return nil, errNoCoordinator
 		}
 		var conn *grpc.ClientConn
-		if conn, err = l.peerConn(peer); err != nil {
+		if conn, err = c.peerConn(peer); err != nil {
 			return nil, err
 		}
 		response, err = fleetpb.NewPeerClient(conn).Charge(ctx, request)
 	}
 	if err != nil {
-		l.Changed()
+		c.Changed()
 	}
 	return response, err
 }
 
 // Refund returns the tokens of a request that was not run.
-func (l *Limiter) Refund(bucket string, bucketLimit config.Limit, tokens int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.meter.Refund(time.Now(), bucket, bucketLimit, tokens)
+func (c *Client) Refund(bucket string, bucketLimit config.Limit, tokens int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meter.Refund(time.Now(), bucket, bucketLimit, tokens)
 }
 
 // Changed makes the next report happen soon. It is called when a generation has ended.
-func (l *Limiter) Changed() {
+func (c *Client) Changed() {
 	select {
-	case l.kick <- struct{}{}:
+	case c.kick <- struct{}{}:
 	default:
 	}
 }
 
 // Run reports to the coordinator until the context ends.
-func (l *Limiter) Run(ctx context.Context) error {
-	defer l.close()
+func (c *Client) Run(ctx context.Context) error {
+	defer c.close()
 	for ctx.Err() == nil {
-		l.report(ctx)
-		timer := time.NewTimer(l.interval())
+		c.report(ctx)
+		timer := time.NewTimer(c.interval())
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-		case <-l.kick:
+		case <-c.kick:
 			select {
 			case <-ctx.Done():
 			case <-time.After(minKickPause):
@@ -207,35 +207,35 @@
 }
 
 // interval returns the time until the next report.
-func (l *Limiter) interval() time.Duration {
-	interval := coordinator.ReportInterval(len(l.config.Control.View().Sessions))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.touched {
+func (c *Client) interval() time.Duration {
+	interval := coordinator.ReportInterval(len(c.config.Control.View().Sessions))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.touched {
 		interval *= idleFactor
 	}
-	l.touched = false
+	c.touched = false
 	return interval
 }
 
 // candidates returns the sessions that may coordinate, in the order of preference. Coordinators that failed come last.
-func (l *Limiter) candidates(now time.Time, view *control.View) []uint64 {
+func (c *Client) candidates(now time.Time, view *control.View) []uint64 {
 	ids := make([]uint64, 0, len(view.Sessions))
 	for id := range view.Sessions {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id := range l.avoided {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.avoided {
 		if view.Sessions[id] == nil {
-			delete(l.avoided, id)
+			delete(c.avoided, id)
 		}
 	}
-	l.closeOthers(view)
+	c.closeOthers(view)
 	var preferred, avoided []uint64
 	for _, id := range ids {
-		if now.Before(l.avoided[id].until) {
+		if now.Before(c.avoided[id].until) {
 			avoided = append(avoided, id)
 		} else {
 			preferred = append(preferred, id)
@@ -245,82 +245,82 @@
 }
 
 // report reports to the first coordinator that answers.
-func (l *Limiter) report(ctx context.Context) {
-	view := l.config.Control.View()
+func (c *Client) report(ctx context.Context) {
+	view := c.config.Control.View()
 	// A session whose lease has expired still identifies this entry, for example while the control group has no leader.
-	own, _ := l.config.Control.SessionID()
+	own, _ := c.config.Control.SessionID()
 	if view.Sessions[own] == nil {
 		return
 	}
-	l.mu.Lock()
-	l.meter.SetEntries(time.Now(), len(view.Sessions))
-	l.meter.Silence = coordinator.Silence(len(view.Sessions))
-	l.mu.Unlock()
-	candidates := l.candidates(time.Now(), view)
+	c.mu.Lock()
+	c.meter.SetEntries(time.Now(), len(view.Sessions))
+	c.meter.Silence = coordinator.Silence(len(view.Sessions))
+	c.mu.Unlock()
+	candidates := c.candidates(time.Now(), view)
 	for _, id := range candidates[:min(len(candidates), maxCandidates)] {
-		err := l.reportTo(ctx, view, own, id)
+		err := c.reportTo(ctx, view, own, id)
 		switch {
 		case err == nil:
-			l.setCurrent(id, nil)
+			c.setCurrent(id, nil)
 			return
 		case ctx.Err() != nil || status.Code(err) == codes.FailedPrecondition:
 			// The coordinator has an older view without this session.
 			return
 		}
-		l.avoid(id)
+		c.avoid(id)
 	}
-	l.setCurrent(0, errNoCoordinator)
+	c.setCurrent(0, errNoCoordinator)
 }
 
 // errNoCoordinator means that none of the candidates answered.
 var errNoCoordinator = errors.New("no coordinator responds")
 
 // setCurrent records which coordinator answered.
-func (l *Limiter) setCurrent(id uint64, err error) {
-	l.mu.Lock()
-	previous := l.current
-	l.current = id
+func (c *Client) setCurrent(id uint64, err error) {
+	c.mu.Lock()
+	previous := c.current
+	c.current = id
 	if err == nil {
-		delete(l.avoided, id)
+		delete(c.avoided, id)
 	}
-	l.mu.Unlock()
+	c.mu.Unlock()
 	if previous == id {
 		return
 	}
 	if previous != 0 {
 		// The loads of the other entries now come from another coordinator.
-		l.loads.Observe(previous, nil)
+		c.loads.Observe(previous, nil)
 	}
-	l.config.Events.Write(event.CoordinatorChanged, func(e *log.Entry) { e.Uint64("before", previous).Uint64("session", id).Err(err) })
+	c.config.Events.Write(event.CoordinatorChanged, func(e *log.Entry) { e.Uint64("before", previous).Uint64("session", id).Err(err) })
 }
 
 // avoid makes other coordinators preferred for some time.
-func (l *Limiter) avoid(id uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	duration := min(max(minAvoidance, 2*l.avoided[id].duration), maxAvoidance)
-	l.avoided[id] = avoidance{until: time.Now().Add(duration), duration: duration}
-	if conn := l.conns[id]; conn != nil {
-		delete(l.conns, id)
+func (c *Client) avoid(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	duration := min(max(minAvoidance, 2*c.avoided[id].duration), maxAvoidance)
+	c.avoided[id] = avoidance{until: time.Now().Add(duration), duration: duration}
+	if conn := c.conns[id]; conn != nil {
+		delete(c.conns, id)
 		// The connection is discarded, so an error of Close does not matter.
 		_ = conn.Close()
 	}
 }
 
-func (l *Limiter) reportTo(ctx context.Context, view *control.View, own, id uint64) error {
-	l.mu.Lock()
-	uses := l.meter.Report(time.Now())
-	l.mu.Unlock()
-	report := l.localReport(own, uses)
+func (c *Client) reportTo(ctx context.Context, view *control.View, own, id uint64) error {
+	c.mu.Lock()
+	uses := c.meter.Report(time.Now())
+	c.mu.Unlock()
+	report := c.localReport(own, uses)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var response *fleetpb.FleetUse
 	var err error
 	if id == own {
-		response, err = l.config.Coordinator.Report(ctx, report)
+		response, err = c.config.Coordinator.Report(ctx, report)
 	} else {
 		var conn *grpc.ClientConn
-		if conn, err = l.peerConn(view.Sessions[id]); err != nil {
+		if conn, err = c.peerConn(view.Sessions[id]); err != nil {
 			return err
 		}
 		response, err = fleetpb.NewPeerClient(conn).Report(ctx, report)
@@ -331,34 +331,34 @@
 	if response.SessionId != id {
 		return errSessionMismatch
 	}
-	l.apply(view, uses, response)
+	c.apply(view, uses, response)
 	return nil
 }
 
 // errSessionMismatch means that the peer responded with another session: a restarted entry has the address now.
 var errSessionMismatch = errors.New("the address belongs to another session")
 
-func (l *Limiter) localReport(own uint64, uses []limit.Use) *fleetpb.UseReport {
-	rate, delay := l.loads.PrefillSpeed()
+func (c *Client) localReport(own uint64, uses []limit.Use) *fleetpb.UseReport {
+	rate, delay := c.loads.PrefillSpeed()
 	report := &fleetpb.UseReport{SessionId: own, PrefillRate: uint32(rate * 1000), PrefillDelayMillis: uint32(delay.Milliseconds())}
-	for _, load := range l.loads.Loads() {
+	for _, load := range c.loads.Loads() {
 		report.Upstreams = append(report.Upstreams, &fleetpb.UpstreamUse{
 			Id: load.ID, Incarnation: load.Incarnation, Work: int64(load.Work), Requests: uint32(load.Requests), Ejected: load.Ejected,
 		})
 	}
-	for _, t := range l.loads.Retries() {
+	for _, t := range c.loads.Retries() {
 		report.Services = append(report.Services, &fleetpb.ServiceUse{Service: t.Service, Requests: t.Requests, Retries: t.Retries})
 	}
-	for service, d := range l.loads.Demands() {
+	for service, d := range c.loads.Demands() {
 		report.Demands = append(report.Demands, &fleetpb.ServiceDemand{
 			Service: service, Generations: d.Generations, PromptTokens: d.PromptTokens, Room: d.MemoryMillis, OutputTokens: d.OutputTokens,
 		})
 	}
-	for _, g := range l.loads.Generations() {
+	for _, g := range c.loads.Generations() {
 		report.Generations = append(report.Generations, generationMessage(g))
 	}
-	if l.config.Changing != nil {
-		for id, incarnation := range l.config.Changing() {
+	if c.config.Changing != nil {
+		for id, incarnation := range c.config.Changing() {
 			report.Changing = append(report.Changing, &fleetpb.UpstreamRef{Id: id, Incarnation: incarnation})
 		}
 	}
@@ -376,60 +376,60 @@
 }
 
 // apply applies the coordinator's response to a report of the given uses.
-func (l *Limiter) apply(view *control.View, reported []limit.Use, response *fleetpb.FleetUse) {
+func (c *Client) apply(view *control.View, reported []limit.Use, response *fleetpb.FleetUse) {
 	loads := make([]place.Load, 0, len(response.Upstreams))
 	for _, u := range response.Upstreams {
 		loads = append(loads, place.Load{ID: u.Id, Incarnation: u.Incarnation, Work: int(u.Work), Requests: int(u.Requests), Ejected: u.Ejected})
 	}
-	l.loads.Observe(response.SessionId, loads)
+	c.loads.Observe(response.SessionId, loads)
 	totals := make([]retry.Total, 0, len(response.Services))
 	for _, s := range response.Services {
 		totals = append(totals, retry.Total{Service: s.Service, Requests: s.Requests, Retries: s.Retries})
 	}
-	l.loads.ObserveRetries(response.SessionId, totals)
+	c.loads.ObserveRetries(response.SessionId, totals)
 	demands := map[string]place.DemandTotal{}
 	for _, d := range response.Demands {
 		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, OutputTokens: d.OutputTokens, MemoryMillis: d.Room}
 	}
-	l.loads.ObserveDemands(response.SessionId, demands)
+	c.loads.ObserveDemands(response.SessionId, demands)
 	levels := make([]limit.Use, 0, len(response.Customers))
-	for _, c := range response.Customers {
-		levels = append(levels, limit.Use{Bucket: c.Customer, Level: float64(c.Level)})
+	for _, u := range response.Customers {
+		levels = append(levels, limit.Use{Bucket: u.Customer, Level: float64(u.Level)})
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
 }
 
-func (l *Limiter) peerConn(peer *fleetpb.Session) (*grpc.ClientConn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if conn := l.conns[peer.Id]; conn != nil {
+func (c *Client) peerConn(peer *fleetpb.Session) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[peer.Id]; conn != nil {
 		return conn, nil
 	}
-	conn, err := l.config.Dialer.Dial(peer.PeerAddress)
+	conn, err := c.config.Dialer.Dial(peer.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
-	l.conns[peer.Id] = conn
+	c.conns[peer.Id] = conn
 	return conn, nil
 }
 
-// closeOthers closes the connections to entries whose sessions have ended. The caller must hold l.mu.
-func (l *Limiter) closeOthers(view *control.View) {
-	for id, conn := range l.conns {
+// closeOthers closes the connections to entries whose sessions have ended. The caller must hold c.mu.
+func (c *Client) closeOthers(view *control.View) {
+	for id, conn := range c.conns {
 		if view.Sessions[id] == nil {
 			// The connection is discarded, so an error of Close does not matter.
 			_ = conn.Close()
-			delete(l.conns, id)
+			delete(c.conns, id)
 		}
 	}
 }
 
-func (l *Limiter) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, conn := range l.conns {
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
 }
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -112,7 +112,7 @@
 type testEntry struct {
 	control  *fakeControl
 	loads    *fakeLoads
-	limiter  *Limiter
+	limiter  *Client
 	server   *grpc.Server
 	listener net.Listener
 }
--- a/entry/web/endless_test.go
+++ b/entry/web/endless_test.go
@@ -23,8 +23,8 @@
 	return b
 }
 
-// TestStalledStreamResumes guards against a stream that lasts until its deadline because its engine sends a byte now and
-// then, but no event.
+// TestStalledStreamResumes guards against a stream that lasts until its deadline because its engine sends single bytes
+// at intervals, but no event.
 func TestStalledStreamResumes(t *testing.T) {
 	for name, drip := range map[string]string{"comments": ":\n", "part of an event": "d"} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -79,7 +79,7 @@
 	// queueWaitShare is the share of the target latency that a request may wait for a busy service.
 	queueWaitShare = 0.7
 	// latePatienceShare is the share of the longest patience of a route's callers below which a caller has returned after a
-	// refusal. The patience of callers varies by a seventh, and one that was refused is told to return after up to a third.
+	// refusal. The patience of callers varies by a seventh; a refused caller retries after up to a third of it.
 	latePatienceShare = 0.8
 	// placedOutputShare is the share of a generation's expected output that counts as its work on an engine. Generations
 	// on an engine are at different stages, so few reach their full length at the same time.
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -43,7 +43,7 @@
 
 // Placer chooses the engines of generations for all entries.
 type Placer interface {
-	// Place returns the engines, or one of the errors that usage.Limiter documents.
+	// Place returns the engines, or one of the errors that usage.Client documents.
 	Place(ctx context.Context, need usage.PlaceNeed) (usage.PlaceResult, error)
 	// Changed is called when a generation has ended.
 	Changed()
