--- a/entry/place/book_test.go
+++ b/entry/place/book_test.go
@@ -229,7 +229,7 @@
 		}
 		b.Observe(now, 1, all)
 	}
-	forecast := memoryLoad{engines, perSecond, func(now time.Time, id uint64, prompt int, _ [][]*simulated) int {
+	forecast := memoryLoad{engines: engines, perSecond: perSecond, choose: func(now time.Time, id uint64, prompt int, _ [][]*simulated) int {
 		p, err := b.Place(now, GenerationNeed{Session: 1, Service: "s", Generation: Generation{ID: id, Prompt: prompt, Expected: simulatedMean}})
 		if err != nil {
 			return -1
@@ -238,7 +238,7 @@
 	}}
 	served, refused, preempted := forecast.run(report)
 
-	full := memoryLoad{engines, perSecond, func(_ time.Time, _ uint64, prompt int, running [][]*simulated) int {
+	full := memoryLoad{engines: engines, perSecond: perSecond, choose: func(_ time.Time, _ uint64, prompt int, running [][]*simulated) int {
 		for e, gs := range running {
 			reserved := prompt + 9300
 			for _, g := range gs {
@@ -254,7 +254,7 @@
 
 	var old [][]int
 	r := rand.New(rand.NewPCG(1, 1))
-	share := memoryLoad{engines, perSecond, func(_ time.Time, _ uint64, prompt int, _ [][]*simulated) int {
+	share := memoryLoad{engines: engines, perSecond: perSecond, choose: func(_ time.Time, _ uint64, prompt int, _ [][]*simulated) int {
 		best := -1
 		for range 3 {
 			e := r.IntN(engines)
@@ -453,3 +453,125 @@
 		observe(10, 10*time.Millisecond)
 	}
 }
+
+// TestLateCallersInBurst plays bursts in which refused callers return once, as told. It guards against callers that are refused
+// twice, and against late callers that take the places of those who can be served within their target.
+func TestLateCallersInBurst(t *testing.T) {
+	const engines, mean, target, step = 10, 18.0, 900 * time.Millisecond, 10 * time.Millisecond
+	run := func(lateWait bool) (inTime, late, refusedTwice int) {
+		r := rand.New(rand.NewPCG(21, 22))
+		b := NewBook()
+		var upstreams []Upstream
+		for e := range engines {
+			upstreams = append(upstreams, decodeEngine(engineID(e), "d"))
+		}
+		b.Set(upstreams)
+		b.tokenTime = simulatedTokenTime
+		q := NewQueue(b)
+		type caller struct {
+			id       uint64
+			w        *Waiting
+			returned bool
+			due      time.Time
+			prompt   int
+		}
+		type run struct {
+			Generation
+			began  time.Time
+			output int
+		}
+		var waiting, away []*caller
+		var running []*run
+		now, owed, id := epoch, 0.0, uint64(0)
+		finish := func(c *caller, result Result) {
+			switch {
+			case result.Err == nil:
+				if c.returned {
+					late++
+				} else {
+					inTime++
+				}
+				output := min(9300, int(simulatedMean*math.Exp(0.47*r.NormFloat64()-0.11)))
+				running = append(running, &run{Generation{
+					ID: c.id, Upstream: result.Placement.Decode.ID, Incarnation: 1, Prompt: c.prompt, Expected: simulatedMean,
+				}, now, output})
+			case c.returned:
+				refusedTwice++
+			default:
+				c.due, c.returned = now.Add(result.RetryAfter), true
+				away = append(away, c)
+			}
+		}
+		ask := func(c *caller) {
+			wait := time.Duration(0.4 * float64(target))
+			if c.returned && lateWait {
+				wait = time.Duration(2.5 * float64(target))
+			}
+			c.w = &Waiting{
+				Need:  GenerationNeed{Session: 1, Service: "s", Target: target, Generation: Generation{ID: c.id, Prompt: c.prompt, Expected: simulatedMean}},
+				Until: now.Add(wait), Patience: 14 * time.Second, Late: c.returned && lateWait, Done: make(chan Result, 1),
+			}
+			if result, done := q.Add(now, c.w); done {
+				finish(c, result)
+				return
+			}
+			waiting = append(waiting, c)
+		}
+		for i := range 4000 {
+			now = now.Add(step)
+			var reported []Generation
+			kept := running[:0]
+			for _, g := range running {
+				if g.Output = int(now.Sub(g.began) / simulatedTokenTime); g.Output < g.output {
+					kept = append(kept, g)
+					reported = append(reported, g.Generation)
+				}
+			}
+			running = kept
+			for service, n := range b.Observe(now, 1, reported) {
+				q.RecordEnds(now, service, n)
+			}
+			q.Advance(now)
+			still := waiting[:0]
+			for _, c := range waiting {
+				select {
+				case result := <-c.w.Done:
+					finish(c, result)
+				default:
+					still = append(still, c)
+				}
+			}
+			waiting = still
+			later := away[:0]
+			var due []*caller
+			for _, c := range away {
+				if now.Before(c.due) {
+					later = append(later, c)
+				} else {
+					due = append(due, c)
+				}
+			}
+			away = later
+			for _, c := range due {
+				ask(c)
+			}
+			rate := mean
+			if i%1000 < 400 {
+				// Four seconds of twice the usual load in each ten seconds.
+				rate = 2 * mean
+			}
+			for owed += rate * step.Seconds(); owed >= 1; owed-- {
+				id++
+				ask(&caller{id: id, prompt: 2500 + r.IntN(5000)})
+			}
+		}
+		return inTime, late, refusedTwice
+	}
+	inTime, late, twice := run(true)
+	inTimeBefore, lateBefore, twiceBefore := run(false)
+	t.Logf("late callers wait: %d in time, %d late, %d refused twice; before: %d, %d, %d", inTime, late, twice, inTimeBefore, lateBefore, twiceBefore)
+	if twice >= twiceBefore || inTime < inTimeBefore*98/100 || inTime+late <= inTimeBefore+lateBefore {
+		t.Errorf("got %d in time, %d late and %d refused twice, want fewer refused twice than %d, and no fewer served in time than %d",
+			inTime, late, twice, twiceBefore, inTimeBefore)
+	}
+}
