Bound every body that an upstream sends, whatever its call states

Cause: a call of conn.Pool without MaxBody had no limit, and the call that frees reservations and prefills stated none. An engine that answered it with a length of ended the process: fasthttp allocates the stated length before a byte has arrived ("makeslice: len out of range" below callInBackground). The same belief in the stated length let a call with a limit of 8 MB take up that much for each answer that only claims it.

Parsing of heads is ruled out by the trace.

Change: a call without a limit has one of 1 MiB. conn reads bodies itself; memory grows with the bytes that have arrived, and bodies above 64 KiB share 0.15 of the VM's memory, in turns.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -200,6 +200,9 @@
 	return nil
 }
 
+// maxMetricsRequestBytes bounds the body of a request for the metrics page, which has none.
+const maxMetricsRequestBytes = 1 << 10
+
 // metricsTimeout bounds reading a request for the metrics page and writing the response.
 const metricsTimeout = 5 * time.Second
 
@@ -216,6 +219,7 @@
 			}
 		},
 		NoDefaultServerHeader: true, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, CloseOnShutdown: true,
+		MaxRequestBodySize: maxMetricsRequestBytes,
 	}
 	group.Go(func() error { return eris.Wrap(metricsServer.Serve(listener), "serve metrics") })
 	group.Go(func() error {
--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -71,6 +71,8 @@
 	KeepAliveTimeout time.Duration
 	// MaxIdlePerAddress limits the idle connections to each address [32].
 	MaxIdlePerAddress int
+	// LargeBodies limits the bytes of the large response bodies that are read into memory at the same time [64 MiB].
+	LargeBodies int64
 }
 
 func (o *Options) setDefaults() {
@@ -89,6 +91,9 @@
 	if o.MaxIdlePerAddress == 0 {
 		o.MaxIdlePerAddress = 32
 	}
+	if o.LargeBodies == 0 {
+		o.LargeBodies = defaultLargeBodies
+	}
 }
 
 // pooledConn is a TCP connection that at most one call uses at a time.
@@ -235,10 +240,17 @@
 	// OnSilence, if set, is called when a read of the response has timed out or the progress deadline has passed. It returns
 	// until when the call waits further, or the zero time to end the call.
 	OnSilence func() time.Time
-	// MaxBody is the largest body of a buffered response in bytes; 0 means no limit.
+	// MaxBody is the largest body in bytes that is read into memory [1 MiB].
 	MaxBody int
 }
 
+func (c *Call) maxBody() int {
+	if c.MaxBody <= 0 {
+		return defaultMaxBody
+	}
+	return c.MaxBody
+}
+
 // Do sends the request and reads the complete response. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, call Call, response *fasthttp.Response) error {
 	body, err := p.start(ctx, call, response, false)
@@ -306,7 +318,6 @@
 	body := &Body{pool: p, conn: c, response: response, ctx: ctx}
 	// Close fails only on a connection that is already closed.
 	body.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	response.StreamBody = stream
 	err := ctx.Err()
 	if err == nil {
 		err = call.Request.Write(c.writer)
@@ -315,14 +326,14 @@
 		err = c.writer.Flush()
 	}
 	if err == nil {
-		err = c.readMatching(call, response, stream, reused)
+		err = c.readMatching(ctx, call, response, stream, reused)
 	}
 	if err != nil {
 		failed := &Error{Address: c.address, Sent: c.writeStarted, ResponseStarted: c.responseStarted, Err: cause(ctx, c, err)}
 		body.finish(false)
 		return nil, failed
 	}
-	body.reader = response.BodyStream()
+	body.reader, body.stated = response.BodyStream(), response.Header.ContentLength()
 	body.connectionClose, body.keepAlive = response.ConnectionClose(), p.keepAliveTimeout(&response.Header)
 	return body, nil
 }
@@ -339,7 +350,7 @@
 
 // readMatching reads responses until one matches the call. In a streamed call it bounds the time until the header is complete,
 // so that bytes that arrive at intervals do not extend it.
-func (c *pooledConn) readMatching(call Call, response *fasthttp.Response, stream, reused bool) error {
+func (c *pooledConn) readMatching(ctx context.Context, call Call, response *fasthttp.Response, stream, reused bool) error {
 	if stream {
 		c.progressDeadline = time.Now().Add(c.firstByteTimeout + c.readTimeout)
 		defer func() { c.progressDeadline = time.Time{} }()
@@ -349,9 +360,16 @@
 		if err := skipInterim(c.reader); err != nil {
 			return err
 		}
-		if err := response.ReadLimitBody(c.reader, call.MaxBody); err != nil {
+		// A body that fasthttp buffers takes up memory for its stated length before any byte has arrived.
+		response.StreamBody = true
+		if err := response.ReadLimitBody(c.reader, call.maxBody()); err != nil {
 			return err //nolint:wrapcheck // wrapped by the call
 		}
+		if !stream {
+			if err := c.bufferBody(ctx, response, call.maxBody()); err != nil {
+				return err
+			}
+		}
 		if call.Match == nil || call.Match(response, reused) {
 			return nil
 		}
@@ -370,11 +388,34 @@
 			_ = response.CloseBodyStream()
 		}
 		response.Reset()
-		response.StreamBody = stream
 	}
 	return ErrMismatchedResponse
 }
 
+// bufferBody replaces the body stream of a response with the whole body.
+func (c *pooledConn) bufferBody(ctx context.Context, response *fasthttp.Response, limit int) error {
+	source := response.BodyStream()
+	response.StreamBody = false
+	if source == nil {
+		return nil
+	}
+	length := response.Header.ContentLength()
+	body, err := c.pool.buffers.read(ctx, source, length, limit)
+	if err != nil {
+		// Closing the stream only returns it to its pool.
+		_ = response.CloseBodyStream()
+		return err
+	}
+	response.SetBodyRaw(body)
+	if length == endsWithConnection {
+		response.Header.SetContentLength(len(body))
+	}
+	return nil
+}
+
+// endsWithConnection is the content length by which fasthttp marks a body that ends with its connection.
+const endsWithConnection = -2
+
 // Body is the streamed body of a response. A Body is not safe for concurrent use.
 type Body struct {
 	pool       *Pool
@@ -385,6 +426,8 @@
 	stop       func() bool
 	reachedEOF bool
 	finished   bool
+	// stated is the length of the body according to the header, negative if it states none.
+	stated int
 	// connectionClose and keepAlive are what the header says of the connection. The user of the response may change the header.
 	connectionClose bool
 	keepAlive       time.Duration
@@ -410,6 +453,19 @@
 	return n, &Error{Address: b.conn.address, Sent: true, ResponseStarted: true, Err: cause(b.ctx, b.conn, err)}
 }
 
+// ReadAll reads the rest of the body, of at most limit bytes, into memory. Errors are of type *Error.
+func (b *Body) ReadAll(limit int) ([]byte, error) {
+	if b.reader == nil {
+		return nil, nil
+	}
+	body, err := b.pool.buffers.read(b.ctx, b, b.stated, limit)
+	var failed *Error
+	if err != nil && !errors.As(err, &failed) {
+		err = &Error{Address: b.conn.address, Sent: true, ResponseStarted: true, Err: err}
+	}
+	return body, err
+}
+
 // Close ends the call. The connection is kept for reuse if the body was read to its end.
 func (b *Body) Close() {
 	b.finish(b.reachedEOF)
--- a/entry/conn/pool.go
+++ b/entry/conn/pool.go
@@ -23,6 +23,7 @@
 	options Options
 	dialer  net.Dialer
 	seed    maphash.Seed
+	buffers *bodyBuffers
 
 	mu   sync.Mutex
 	idle map[string][]*pooledConn
@@ -36,7 +37,7 @@
 func NewPool(options Options) *Pool {
 	options.setDefaults()
 	return &Pool{
-		options: options, seed: maphash.MakeSeed(),
+		options: options, seed: maphash.MakeSeed(), buffers: newBodyBuffers(options.LargeBodies),
 		dialer: net.Dialer{
 			Timeout:         options.ConnectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -137,6 +137,8 @@
 	maxLogLinesPerSecond = 300
 	// memoryLimitShare is the share of the VM's memory that the Go runtime may use; the rest is left for socket buffers.
 	memoryLimitShare = 0.7
+	// largeBodyShare is the share of the VM's memory for large bodies of upstreams' responses that are being read.
+	largeBodyShare = 0.15
 	// revocationMargin is subtracted from the revocation time, because a request with a withdrawn key may already be on
 	// its way to an upstream.
 	revocationMargin = 700 * time.Millisecond
@@ -147,6 +149,8 @@
 	stopMargin = 1200 * time.Millisecond
 	// monitorCloseTimeout bounds the wait at shutdown for connections of the load balancer and of metrics scrapers.
 	monitorCloseTimeout = 200 * time.Millisecond
+	// maxMonitorBytes bounds the body of a readiness check or a scrape, which has none.
+	maxMonitorBytes = 1 << 10
 	// loadBalancerDelay is the time that the load balancer takes to stop sending new connections after the end of
 	// readiness.
 	loadBalancerDelay = 3 * time.Second
@@ -272,7 +276,9 @@
 		},
 		Guard: guard, SetQuarantined: func(parts int) { quarantined.Update(float64(parts)) },
 	})
-	e.pool = conn.NewPool(upstreamOptions)
+	options := upstreamOptions
+	options.LargeBodies = int64(float64(c.MemoryMegabytes) * largeBodyShare * (1 << 20))
+	e.pool = conn.NewPool(options)
 	e.router = web.New(web.Config{
 		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
 		FreshFor: freshnessBound, Grace: c.Grace - stopMargin,
@@ -317,7 +323,7 @@
 	fleetpb.RegisterPeerServer(server, e.coordinator)
 	monitor := &fasthttp.Server{
 		Handler: e.serveMonitor, NoDefaultServerHeader: true, ReadTimeout: httpReadTimeout, IdleTimeout: httpIdleTimeout,
-		CloseOnShutdown: true,
+		MaxRequestBodySize: maxMonitorBytes, CloseOnShutdown: true,
 	}
 	group.Go(func() error { return e.fleet.Run(ctx) })
 	group.Go(func() error { return e.limiter.Run(ctx) })
--- a/entry/web/continue.go
+++ b/entry/web/continue.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -21,8 +20,6 @@
 	errNoEvent = errors.New("the connection ended before the first event")
 	// errOtherResponse means that the response does not continue the stream that the caller has begun to receive.
 	errOtherResponse = errors.New("response does not continue the stream")
-	// errLongResponse means that a buffered response is longer than maxResponseBytes.
-	errLongResponse = errors.New("response is too long")
 )
 
 // continuesStream reports whether the response is an event stream that begins the response to the caller, or continues it.
@@ -63,10 +60,7 @@
 		s.err = errOtherResponse
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(s.body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errLongResponse
-	}
+	body, err := s.body.ReadAll(maxResponseBytes)
 	if err != nil {
 		s.outcome, s.err = place.Broken, err
 		if q.callerGone() {
--- a/entry/web/endless_test.go
+++ b/entry/web/endless_test.go
@@ -153,6 +153,45 @@
 	}
 }
 
+// TestEndlessResponseToRelease guards against an entry that ends, or keeps all bytes, when an engine responds without end to a call
+// that releases a reservation.
+func TestEndlessResponseToRelease(t *testing.T) {
+	var sent atomic.Int64
+	closed := make(chan struct{}, 100)
+	u := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		switch string(r.Header.Method()) + " " + string(r.RequestURI()) {
+		case "POST /reserve":
+			return respond(c, r, 200, "", "room1")
+		case "DELETE /reserve/room1":
+			defer func() { closed <- struct{}{} }()
+			if _, err := fmt.Fprint(c, "HTTP/1.1 200 X\r\nContent-Length: 999999999999999999\r\n\r\n"); err != nil {
+				return false
+			}
+			fill := make([]byte, 4096)
+			for {
+				n, err := c.Write(fill)
+				if sent.Add(int64(n)); err != nil {
+					return false
+				}
+			}
+		}
+		return respond(c, r, 503, "NotRun: 1\r\n", "")
+	})
+	b := newTestRouter(t, nil, nil, []*upstream{u})
+	b.control.view.Document.Services["e"].Engine.Reservation = time.Second
+	if got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"}); got.status != 503 {
+		t.Errorf("got status %d, want the refusal of the only engine", got.status)
+	}
+	select {
+	case <-closed:
+	case <-time.After(3 * time.Second):
+		t.Error("the connection was not closed")
+	}
+	if got, most := sent.Load(), int64(8<<20); got > most {
+		t.Errorf("got %d bytes taken from the engine, want at most %d", got, most)
+	}
+}
+
 // addLoad makes an upstream the last choice, as if other entries used it.
 func (b *testRouter) addLoad(id string, work int) { b.addLoadOf(7, id, work) }
 
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -25,8 +25,8 @@
 	maxReserves = 6
 	// maxResumeReserves bounds the reservation calls of a stream that resumes on another engine.
 	maxResumeReserves = 30
-	// maxReservationBytes bounds the response to a reservation call.
-	maxReservationBytes = 4 << 10
+	// maxCallBytes bounds the response to a call of this entry's own, such as a reservation or its release.
+	maxCallBytes = 4 << 10
 )
 
 var errReservationDeclined = errors.New("engine declined the memory reservation")
@@ -49,7 +49,7 @@
 	q.router.config.Codec.Reserve(out, q.tokensToReserve(p.coordinated), engine.Reservation)
 	out.Header.SetHost(u.Address)
 	call := conn.Call{
-		Address: u.Address, Request: out, Reuse: true, FirstByteTimeout: reserveTimeout, ReadTimeout: reserveTimeout, MaxBody: maxReservationBytes,
+		Address: u.Address, Request: out, Reuse: true, FirstByteTimeout: reserveTimeout, ReadTimeout: reserveTimeout, MaxBody: maxCallBytes,
 		Limit: connections,
 		Match: func(r *fasthttp.Response, reused bool) bool { return q.router.ownsReservation(u.Address, r, reused) },
 	}
@@ -111,7 +111,7 @@
 		out.Header.SetHost(address)
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		if err := r.config.Pool.Do(ctx, conn.Call{Address: address, Request: out, Reuse: true}, response); err != nil {
+		if err := r.config.Pool.Do(ctx, conn.Call{Address: address, Request: out, Reuse: true, MaxBody: maxCallBytes}, response); err != nil {
 			r.config.Events.Write(failed, func(e *log.Entry) { e.Str("address", address).Err(err) })
 		}
 		return nil
