Bound the whole call that reserves memory on an engine

What callers saw: an engine that sends its response to a reservation byte by byte held the caller until its deadline; 10 s in TestDrippedReservation on the code before, with a sound engine free.

Cause: the timeouts of the call bounded each read, and only the request's deadline bounded the call.

Change: the call ends after 450 ms, three times the time that connecting, the first byte or a further read may take, and the engine counts as broken.

--- a/entry/web/endless_test.go
+++ b/entry/web/endless_test.go
@@ -192,6 +192,37 @@
 	}
 }
 
+// TestDrippedReservation guards against a caller that waits for its deadline because an engine sends its response to a reservation
+// call byte by byte.
+func TestDrippedReservation(t *testing.T) {
+	drips := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		if string(r.RequestURI()) != "/reserve" {
+			return writeEvents(c, r, 1, 2, true)
+		}
+		if _, err := fmt.Fprint(c, "HTTP/1.1 200 X\r\nContent-Length: 1000\r\n\r\n"); err != nil {
+			return false
+		}
+		for {
+			if _, err := fmt.Fprint(c, "r"); err != nil {
+				return false
+			}
+			time.Sleep(reserveTimeout / 3)
+		}
+	})
+	healthy := reservingEngine(t, 200)
+	b := withTimeout(newTestRouter(t, nil, nil, []*upstream{drips, healthy}), 10*time.Second)
+	b.control.view.Document.Services["e"].Engine.Reservation = time.Second
+	b.addLoad("edecode1", 5000)
+	start := time.Now()
+	got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
+	if got.status != 200 || got.truncated || got.body != wantEvents(2) {
+		t.Errorf("got %d, truncated %v, %q, want the stream of the other engine", got.status, got.truncated, got.body)
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("got the stream after %v, want it soon after the call has taken too long", took)
+	}
+}
+
 // addLoad makes an upstream the last choice, as if other entries used it.
 func (b *testRouter) addLoad(id string, work int) { b.addLoadOf(7, id, work) }
 
--- a/entry/web/reserve.go
+++ b/entry/web/reserve.go
@@ -17,6 +17,8 @@
 	// reserveTimeout bounds the call that reserves memory. An engine responds at once, so the timeout is as long as
 	// establishing a connection may take.
 	reserveTimeout = 150 * time.Millisecond
+	// maxReserveDuration bounds the whole call: connecting, the first byte of the response, and its rest.
+	maxReserveDuration = 3 * reserveTimeout
 	// reservedOutputShare is the share of the expected output for which an engine must have free memory if no coordinator
 	// placed the generation. Engines keep a reservation for some time after the generation has begun and preempt others in
 	// that time, so that a generation whose growth the coordinator has forecast reserves only its prompt.
@@ -53,7 +55,9 @@
 		Limit: connections,
 		Match: func(r *fasthttp.Response, reused bool) bool { return q.router.ownsReservation(u.Address, r, reused) },
 	}
-	if err := q.router.config.Pool.Do(q.ctx, call, response); err != nil {
+	ctx, cancel := context.WithTimeout(q.ctx, maxReserveDuration)
+	defer cancel()
+	if err := q.router.config.Pool.Do(ctx, call, response); err != nil {
 		return "", q.reserveOutcome(err), err
 	}
 	q.router.observeNotice(u, response.StatusCode(), q.router.config.Codec.ReadResponse(&response.Header), "")
