Confirm customers' limits only while a majority reports to the coordinator

What callers saw: nothing; upstreams got more of a customer than its limit.

Cause: the authority over limits had no end. The coordinator that is cut off reports to itself, so its levels always count as confirmed, and its successor starts from a copy of the same bucket: both spent the whole burst. Shares of silent entries were withheld from the refill only, and with the coordinator counted once more than it is (it kept two fifths of the rate of four).

Ruled out: entries that take their whole copy while no coordinator answers, because the successor counts and pays that back.

Change: a coordinator confirms levels and charges only while a majority of the entries has reported within half of Silence, which ends before entries have given it up. Entries without a confirmation have their share of the rate and of the rest of the burst, at once after a failed charge or report; shares of silent entries are withheld from both. A charge by an entry that had not used the bucket is no longer counted again with its next report.

--- a/core/event/control.go
+++ b/core/event/control.go
@@ -42,6 +42,8 @@
 	ControlDocumentRead
 	ControlCallFailed
 	ControlSettingsReloaded
+	ControlCallAbandoned
+	ControlHeartbeatStale
 )
 
 var controlEvents = map[ID]Description{
@@ -77,4 +79,6 @@
 	ControlDocumentRead:             {log.InfoLevel, "the configuration document was read"},
 	ControlCallFailed:               {log.WarnLevel, "a call to the control group got no clear outcome"},
 	ControlSettingsReloaded:         {log.InfoLevel, "settings reloaded"},
+	ControlCallAbandoned:            {log.InfoLevel, "a call had no effect because its caller had left"},
+	ControlHeartbeatStale:           {log.InfoLevel, "an upstream's heartbeat changed nothing because a newer one is known"},
 }
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -32,6 +32,7 @@
 	UpstreamPaused
 	PartQuarantined
 	PartReleased
+	LimitsConfirmed
 )
 
 var entryEvents = map[ID]Description{
@@ -63,4 +64,5 @@
 	UpstreamPaused:      {log.InfoLevel, "an upstream asks this entry for a pause"},
 	PartQuarantined:     {log.WarnLevel, "requests with a part of prompts are refused, because engines crashed on it"},
 	PartReleased:        {log.InfoLevel, "requests with a part of prompts are no longer refused"},
+	LimitsConfirmed:     {log.InfoLevel, "a coordinator confirms what is left of customers' limits, or none does any more"},
 }
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -1,9 +1,9 @@
 // Package coordinator serves the entries of a fleet: it adds up what they use, and places their generations on engines.
 //
 // Each entry can be the coordinator. The others choose the one with the oldest session that responds, so that the choice
-// changes only when the coordinator fails or stops. Nothing depends on a single coordinator: engines themselves grant the
-// memory that a placement needs, and two coordinators at once each withhold the shares of the entries that do not report
-// to them from the limits.
+// changes only when the coordinator fails or stops. Placements do not depend on a single coordinator, because engines themselves
+// grant the memory. Limits do: a coordinator confirms levels and charges customers only while a majority of the entries reports to
+// it, so that one that is cut off stops before its successor begins, and each entry without a coordinator has its share.
 package coordinator
 
 import (
@@ -52,6 +52,8 @@
 	ledger   *quarantine.Ledger
 	sweptAt  time.Time
 	resigned bool
+	// awake tells whether this process was stopped.
+	awake control.PauseDetector
 }
 
 // New returns a coordinator without reports.
@@ -64,6 +66,8 @@
 var (
 	errResigned       = status.Error(codes.Unavailable, "this entry is stopping")
 	errNoSession      = status.Error(codes.Unavailable, "this entry has no session")
+	errNotAlone       = status.Error(codes.Unavailable, "another entry may coordinate as well")
+	errLateReport     = status.Error(codes.Aborted, "a newer report of the session is known")
 	errUnknownSession = status.Error(codes.FailedPrecondition, "the session or the customer is not in this entry's view")
 )
 
@@ -104,6 +108,9 @@
 	case own == 0:
 		return 0, errNoSession
 	}
+	if c.awake.Paused() {
+		c.meter.LoseAuthority(now)
+	}
 	if view := c.control.View(); view != c.view {
 		c.view = view
 		c.book.Set(Engines(view))
@@ -111,7 +118,7 @@
 		for id := range view.Sessions {
 			sessions = append(sessions, id)
 		}
-		c.meter.SetPeers(now, sessions)
+		c.meter.SetSessions(now, sessions)
 		c.meter.Silence = Silence(len(sessions))
 		c.queue.Advance(now)
 	}
@@ -140,6 +147,9 @@
 	if c.view.Sessions[report.SessionId] == nil {
 		return nil, errUnknownSession
 	}
+	if c.meter.Late(report.SessionId, report.Sequence) {
+		return nil, errLateReport
+	}
 	c.observeGenerations(now, report)
 	uses := make([]limit.Use, 0, len(report.Customers))
 	for _, u := range report.Customers {
@@ -148,6 +158,7 @@
 	c.meter.Observe(now, report.SessionId, uses, c.view.Limit)
 	response := c.sums.Exchange(now, report)
 	response.SessionId = own
+	response.Unconfirmed, response.Silent = !c.meter.Authoritative(now), uint32(c.meter.SilentPeers(now))
 	c.judgeParts(now, report, response)
 	for _, u := range c.meter.Report(now) {
 		if l, ok := c.view.Limit(u.Bucket); ok && !u.Full(l) {
@@ -169,6 +180,9 @@
 	if !ok || c.view.Sessions[r.SessionId] == nil {
 		return nil, errUnknownSession
 	}
+	if !c.meter.Authoritative(now) {
+		return nil, errNotAlone
+	}
 	admitted, retryAfter := c.meter.Charge(now, r.SessionId, r.Customer, l, r.Tokens, float64(r.Level))
 	return &fleetpb.ChargeResponse{Admitted: admitted, RetryAfterMillis: uint32(retryAfter.Milliseconds())}, nil
 }
--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -38,7 +38,10 @@
 //
 // In a fleet with a coordinator, the coordinator's meter observes the reports of all entries, and the meters of the
 // entries have no peers: Confirm adopts the levels of the coordinator. An entry without confirmation has its equal share
-// of each rate and burst.
+// of each rate and of what is left of each burst.
+//
+// A coordinator that is cut off does not know of its successor, so it confirms levels only while it is the only one: see
+// Authoritative. Both sides of a split fleet together then admit no more than a whole one.
 //
 // A Meter is not safe for concurrent use.
 type Meter struct {
@@ -47,9 +50,22 @@
 	Silence time.Duration
 	buckets map[string]*meterBucket
 	peers   map[uint64]*meterPeer
+	// coordinates is set if the peers are all entries, including the one of this meter.
+	coordinates bool
+	// silent holds the peers without a recent report at countedAt. majority is set if those of a majority of the entries were recent
+	// then, and since majorityAt.
+	silent                []*meterPeer
+	majority              bool
+	countedAt, majorityAt time.Time
+	// observedAt is when the last report was observed. Reports before settledAt do not count for the majority.
+	observedAt, settledAt time.Time
 	// entries is the number of entries that share the limits through a coordinator, or 0 without one.
 	entries     int
 	confirmedAt time.Time
+	// doubted is set after the coordinator has failed, until a coordinator confirms the levels.
+	doubted bool
+	// expired is set while the session of this entry is not known to be valid.
+	expired bool
 	// confirmedBy is the session of the coordinator whose levels were adopted last.
 	confirmedBy uint64
 }
@@ -59,7 +75,9 @@
 	level float64
 	// whole is the level of the whole bucket as far as this entry knows, while level is its share because no coordinator confirms
 	// the levels. It does not count what other entries admit in that time.
-	whole      float64
+	whole float64
+	// shared is set while level is the share of this entry.
+	shared     bool
 	refilledAt time.Time
 	// admitted is the total that this entry reports.
 	admitted int64
@@ -71,10 +89,15 @@
 
 type meterPeer struct {
 	lastReport time.Time
+	// reported is set once the peer has reported. heard is set if the report counts for the majority.
+	reported, heard bool
+	// sequence is that of the last report.
+	sequence uint64
 	// tokens holds the latest reported total of each bucket. assumed holds the tokens deducted from each bucket on
-	// behalf of the silent peer since its last report on that bucket.
-	tokens  map[string]int64
-	assumed map[string]float64
+	// behalf of the silent peer since its last report on that bucket. held holds the part of it that is the peer's share of the
+	// level when it fell silent.
+	tokens        map[string]int64
+	assumed, held map[string]float64
 }
 
 // NewMeter returns a meter without peers.
@@ -91,17 +114,104 @@
 	}
 }
 
-// SetPeers replaces the sessions that share the limits.
+// SetExpired sets whether the session of this entry may have ended, so that the others may use its share of the limits.
+func (m *Meter) SetExpired(expired bool) { m.expired = expired }
+
+// SetPeers replaces the sessions that share the limits with this entry.
 func (m *Meter) SetPeers(now time.Time, sessions []uint64) {
 	next := map[uint64]*meterPeer{}
 	for _, id := range sessions {
 		p := m.peers[id]
 		if p == nil {
-			p = &meterPeer{lastReport: now, tokens: map[string]int64{}, assumed: map[string]float64{}}
+			p = &meterPeer{lastReport: now, tokens: map[string]int64{}, assumed: map[string]float64{}, held: map[string]float64{}}
 		}
 		next[id] = p
 	}
 	m.peers = next
+	m.countedAt = time.Time{}
+}
+
+// SetSessions is SetPeers for the meter of a coordinator, whose own session is one of the given ones.
+func (m *Meter) SetSessions(now time.Time, sessions []uint64) {
+	m.coordinates = true
+	m.SetPeers(now, sessions)
+}
+
+// shares returns the number of entries that share the limits.
+func (m *Meter) shares() int {
+	if m.coordinates {
+		return len(m.peers)
+	}
+	return len(m.peers) + 1
+}
+
+const (
+	// recheckShare is recheckInterval as a share of Silence.
+	recheckShare = 0.05
+	// authorityShare is AuthorityPeriod as a share of Silence.
+	authorityShare = 0.5
+	// settleTime is how long reports that arrived while this process did not run may take to be read.
+	settleTime = 100 * time.Millisecond
+)
+
+// AuthorityPeriod returns for how long a coordinator relies on a report.
+func (m *Meter) AuthorityPeriod() time.Duration {
+	return time.Duration(authorityShare * float64(m.Silence))
+}
+
+// Authoritative reports whether this meter may confirm levels: a majority of the entries have reported to it lately. An entry gives
+// a coordinator up only after it has waited for longer than AuthorityPeriod, unless the connection broke. So a coordinator that is
+// cut off stops before another one has a majority.
+func (m *Meter) Authoritative(now time.Time) bool {
+	m.recount(now)
+	return m.majority
+}
+
+// recount looks at the ages of all reports, unless it did so just before.
+func (m *Meter) recount(now time.Time) {
+	if now.Sub(m.countedAt) < m.recheckInterval() {
+		return
+	}
+	m.countedAt, m.silent = now, nil
+	recent := 0
+	for _, p := range m.peers {
+		age := now.Sub(p.lastReport)
+		if p.heard && age <= m.AuthorityPeriod() {
+			recent++
+		}
+		if age > m.Silence {
+			m.silent = append(m.silent, p)
+		}
+	}
+	before := m.majority
+	if m.majority = 2*recent > m.shares(); m.majority && !before {
+		m.majorityAt = now
+	}
+}
+
+// LoseAuthority makes the meter wait for the reports of a majority again. It is called after this process has not run for some time.
+// Reports that arrived meanwhile do not count, because their senders may have another coordinator by now.
+func (m *Meter) LoseAuthority(now time.Time) {
+	m.majority, m.countedAt, m.settledAt = false, time.Time{}, now.Add(settleTime)
+	for _, p := range m.peers {
+		p.heard = false
+	}
+}
+
+// recheckInterval is the time after which the ages of reports are looked at again.
+func (m *Meter) recheckInterval() time.Duration {
+	return time.Duration(recheckShare * float64(m.Silence))
+}
+
+// SilentPeers returns the number of peers without a recent report.
+func (m *Meter) SilentPeers(now time.Time) int {
+	return len(m.silentPeers(now))
+}
+
+// silentPeers returns the peers without a recent report. A new peer counts as silent after Silence.
+func (m *Meter) silentPeers(now time.Time) []*meterPeer {
+	m.recount(now)
+	return m.silent
 }
 
 func (m *Meter) bucket(now time.Time, name string, limit config.Limit) *meterBucket {
@@ -116,9 +226,47 @@
 		b.level, b.whole = min(b.level, float64(limit.BurstTokens)), min(b.whole, float64(limit.BurstTokens))
 	}
 	m.refill(now, name, b)
+	m.withhold(now, name, b)
+	m.share(now, b)
 	return b
 }
 
+// withhold deducts the shares of silent peers from the level, because they may be admitting requests on their own.
+func (m *Meter) withhold(now time.Time, name string, b *meterBucket) {
+	silent := m.silentPeers(now)
+	if len(silent) == 0 || m.coordinates && (!m.majority || now.Sub(m.majorityAt) < m.AuthorityPeriod()) {
+		// After another coordinator, each entry gets the time to report once.
+		return
+	}
+	whole := b.level
+	for _, p := range silent {
+		whole += p.held[name]
+	}
+	for _, p := range silent {
+		if _, done := p.held[name]; done {
+			continue
+		}
+		share := max(0, whole/float64(m.shares()))
+		p.held[name] = share
+		p.assumed[name] += share
+		b.level -= share
+	}
+}
+
+// share replaces the level by the share of this entry when no coordinator confirms the levels any more, and by the whole level when
+// one does again.
+func (m *Meter) share(now time.Time, b *meterBucket) {
+	unconfirmed := m.unconfirmed(now)
+	if unconfirmed == b.shared {
+		return
+	}
+	b.shared, b.level = unconfirmed, b.whole
+	if unconfirmed {
+		// Each entry pays a debt back whole, because it does not know what the others do.
+		b.level = min(b.whole, b.whole/float64(m.entries))
+	}
+}
+
 // add changes the level, up to a full bucket.
 func (b *meterBucket) add(tokens float64) {
 	b.level = min(b.level+tokens, float64(b.limit.BurstTokens))
@@ -127,9 +275,16 @@
 
 // unconfirmed reports whether this entry has its share of each limit only, because no coordinator has confirmed the levels lately.
 func (m *Meter) unconfirmed(now time.Time) bool {
-	return m.entries > 1 && now.Sub(m.confirmedAt) > m.Silence
+	return m.entries > 1 && (m.doubted || now.Sub(m.confirmedAt) > m.Silence)
 }
 
+// Doubt makes the entry use its share of each limit until a coordinator confirms the levels. It is called when the coordinator does
+// not respond or is not the only one.
+func (m *Meter) Doubt() { m.doubted = true }
+
+// Doubted reports whether Doubt was called since the last confirmation.
+func (m *Meter) Doubted() bool { return m.doubted }
+
 // refill adds the tokens since the last refill, less the shares of silent peers.
 func (m *Meter) refill(now time.Time, name string, b *meterBucket) {
 	elapsed := now.Sub(b.refilledAt).Seconds()
@@ -139,16 +294,17 @@
 	b.refilledAt = now
 	gain := elapsed * float64(b.limit.TokensPerSecond)
 	b.whole = min(b.whole+gain, float64(b.limit.BurstTokens))
-	share := gain / float64(len(m.peers)+1)
-	for _, p := range m.peers {
-		if now.Sub(p.lastReport) > m.Silence {
-			p.assumed[name] += share
-			gain -= share
-		}
+	share := gain / float64(m.shares())
+	for _, p := range m.silentPeers(now) {
+		p.assumed[name] += share
+		gain -= share
 	}
 	burst := float64(b.limit.BurstTokens)
-	if m.unconfirmed(now) {
+	if b.shared {
 		gain, burst = gain/float64(m.entries), burst/float64(m.entries)
+		if m.expired {
+			gain = 0
+		}
 	}
 	b.level = min(b.level+gain, burst)
 	b.refusedWork = max(0, b.refusedWork-gain)
@@ -157,7 +313,7 @@
 // Take reports whether a request is admitted, and returns the delay before a retry if the request is refused.
 func (m *Meter) Take(now time.Time, name string, limit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	b := m.bucket(now, name, limit)
-	if b.level > 0 {
+	if b.level > 0 && (!b.shared || m.shareCovers(b, tokens)) {
 		b.add(-float64(tokens))
 		b.admitted += tokens
 		return true, 0
@@ -167,6 +323,12 @@
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
+// shareCovers reports whether this entry's share of a bucket holds the tokens of a request, or is full if it is smaller than that.
+// Otherwise, each entry of a large fleet would admit one request of a customer that has used up its limit.
+func (m *Meter) shareCovers(b *meterBucket, tokens int64) bool {
+	return b.level >= min(float64(tokens), float64(b.limit.BurstTokens)/float64(m.entries))
+}
+
 // NearLimit reports whether a bucket is so low that the entries together could exceed the limit between two reports, so that
 // the coordinator has to decide.
 func (m *Meter) NearLimit(now time.Time, name string, limit config.Limit) bool {
@@ -194,14 +356,14 @@
 // taken over from another coordinator.
 func (m *Meter) Charge(now time.Time, session uint64, name string, limit config.Limit, tokens int64, level float64) (ok bool, retryAfter time.Duration) {
 	b := m.bucket(now, name, limit)
-	if p := m.peers[session]; p == nil || len(p.tokens) == 0 || now.Sub(p.lastReport) > m.Silence {
+	if p := m.peers[session]; p == nil || !p.reported || now.Sub(p.lastReport) > m.Silence {
 		b.level = min(b.level, level)
 	}
 	// The peer, not this entry, reports the tokens.
 	admitted := b.admitted
 	ok, retryAfter = m.Take(now, name, limit, tokens)
 	b.admitted = admitted
-	if p := m.peers[session]; ok && p != nil && len(p.tokens) > 0 {
+	if p := m.peers[session]; ok && p != nil && p.reported {
 		p.tokens[name] += tokens
 	}
 	return ok, retryAfter
@@ -228,7 +390,7 @@
 // all entries yet.
 func (m *Meter) Confirm(now time.Time, coordinator uint64, reported, levels []Use, limits func(bucket string) (config.Limit, bool)) {
 	another := m.confirmedBy != 0 && m.confirmedBy != coordinator
-	m.confirmedAt, m.confirmedBy = now, coordinator
+	m.confirmedAt, m.confirmedBy, m.doubted = now, coordinator, false
 	tokens := make(map[string]int64, len(reported))
 	for _, u := range reported {
 		tokens[u.Bucket] = u.Tokens
@@ -262,6 +424,20 @@
 // Full reports whether a use describes a full bucket.
 func (u Use) Full(limit config.Limit) bool { return u.Level >= float64(limit.BurstTokens) }
 
+// Late reports whether a report of a peer is older than one that was observed, and records its sequence otherwise. A sequence of 0
+// is not known.
+func (m *Meter) Late(session, sequence uint64) bool {
+	p := m.peers[session]
+	if p == nil || sequence == 0 {
+		return false
+	}
+	if sequence <= p.sequence {
+		return true
+	}
+	p.sequence = sequence
+	return false
+}
+
 // Observe applies the report of a peer. limits returns the limit of a bucket; buckets without a limit are skipped.
 func (m *Meter) Observe(now time.Time, session uint64, uses []Use, limits func(bucket string) (config.Limit, bool)) {
 	p := m.peers[session]
@@ -269,7 +445,16 @@
 		return
 	}
 	// A peer that was silent may have reported to another coordinator.
-	first := len(p.tokens) == 0 || now.Sub(p.lastReport) > m.Silence
+	first := !p.reported || now.Sub(p.lastReport) > m.Silence
+	if m.majority && now.Sub(m.observedAt) > m.AuthorityPeriod() {
+		// This process did not run, as its own entry reports more often.
+		m.LoseAuthority(now)
+	}
+	if first {
+		m.countedAt = time.Time{}
+	}
+	m.observedAt, p.lastReport, p.reported, p.heard = now, now, true, !now.Before(m.settledAt)
+	m.release(now, p, limits)
 	for _, u := range uses {
 		limit, ok := limits(u.Bucket)
 		if !ok {
@@ -289,5 +474,16 @@
 		p.assumed[u.Bucket] = 0
 		p.tokens[u.Bucket] = u.Tokens
 	}
-	p.lastReport = now
+}
+
+// release returns the shares of the level that were withheld for a peer, because its report tells what it has used.
+func (m *Meter) release(now time.Time, p *meterPeer, limits func(bucket string) (config.Limit, bool)) {
+	for name, share := range p.held {
+		if limit, ok := limits(name); ok {
+			b := m.bucket(now, name, limit)
+			b.level = min(b.level+share, float64(limit.BurstTokens))
+		}
+		p.assumed[name] -= share
+	}
+	clear(p.held)
 }
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -232,18 +232,31 @@
 	coordinator *Meter
 	// session is the session of the coordinator.
 	session uint64
-	now     time.Time
-	limit   config.Limit
+	// answered holds, by entry, the coordinator of its last report and when that was.
+	answered map[int]answeredReport
+	now      time.Time
+	limit    config.Limit
+}
+
+type answeredReport struct {
+	session uint64
+	at      time.Time
 }
 
 func newCoordinatedFleet(n int, l config.Limit) *coordinatedFleet {
-	f := &coordinatedFleet{now: time.Unix(1000, 0), limit: l}
+	f := &coordinatedFleet{now: time.Unix(1000, 0), limit: l, answered: map[int]answeredReport{}}
 	for range n {
 		m := NewMeter()
 		m.SetEntries(f.now, n)
 		f.entries = append(f.entries, m)
 	}
 	f.replaceCoordinator()
+	for !f.coordinator.Authoritative(f.now) {
+		f.now = f.now.Add(50 * time.Millisecond)
+		for i := range f.entries {
+			f.report(i)
+		}
+	}
 	return f
 }
 
@@ -254,13 +267,17 @@
 	for i := range f.entries {
 		sessions = append(sessions, uint64(i))
 	}
-	f.coordinator.SetPeers(f.now, sessions)
+	f.coordinator.SetSessions(f.now, sessions)
 }
 
 func (f *coordinatedFleet) report(i int) {
 	limits := func(string) (config.Limit, bool) { return f.limit, true }
 	uses := f.entries[i].Report(f.now)
 	f.coordinator.Observe(f.now, uint64(i), uses, limits)
+	f.answered[i] = answeredReport{f.session, f.now}
+	if !f.coordinator.Authoritative(f.now) {
+		return
+	}
 	var levels []Use
 	for _, u := range f.coordinator.Report(f.now) {
 		if !u.Full(f.limit) {
@@ -273,7 +290,14 @@
 // take charges a request as an entry does: near the limit, the coordinator decides.
 func (f *coordinatedFleet) take(entry int, tokens int64, reached bool) bool {
 	m := f.entries[entry]
-	if reached && m.NearLimit(f.now, "c", f.limit) {
+	last := f.answered[entry]
+	reached = reached && last.session == f.session && f.now.Sub(last.at) <= m.Silence
+	if reached && !m.Doubted() && m.NearLimit(f.now, "c", f.limit) {
+		if !f.coordinator.Authoritative(f.now) {
+			m.Doubt()
+			ok, _ := m.Take(f.now, "c", f.limit, tokens)
+			return ok
+		}
 		ok, _ := f.coordinator.Charge(f.now, uint64(entry), "c", f.limit, tokens, m.Level(f.now, "c", f.limit))
 		if ok {
 			m.Admit(f.now, "c", f.limit, tokens)
@@ -554,3 +578,96 @@
 		t.Errorf("got %d tokens admitted after the outage, want at most %d", got, want)
 	}
 }
+
+// TestSplitFleet guards against two sides of a split fleet that each spend the whole burst and rate of a customer, because a
+// coordinator that is cut off goes on beside its successor.
+func TestSplitFleet(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 130_000, BurstTokens: 130_000}
+	const (
+		step, interval = 10 * time.Millisecond, 200 * time.Millisecond
+		// cutAt and healedAt bound the split; takeover is when the entries on the other side report to another coordinator.
+		cutAt, takeover, healedAt = 3 * time.Second, 3700 * time.Millisecond, 9 * time.Second
+		length                    = 14 * time.Second
+	)
+	for name, test := range map[string]struct {
+		entries, cut int
+		demand       float64
+		least        float64
+	}{
+		"coordinator alone, six times the rate":  {4, 1, 6, 0.7},
+		"coordinator alone, twice the rate":      {4, 1, 2, 0.7},
+		"two halves, six times the rate":         {4, 2, 6, 0.7},
+		"a third of a large fleet, three times":  {60, 20, 3, 0.6},
+		"coordinator alone, half of the rate":    {4, 1, 0.5, 0.95},
+		"no split, six times the rate":           {4, 0, 6, 0.95},
+		"coordinator alone, idle before the cut": {4, 1, -6, 0.6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(5, 6))
+			f := newCoordinatedFleet(test.entries, l)
+			began := f.now
+			first, successor := f.coordinator, (*Meter)(nil)
+			type admitted struct{ at, tokens float64 }
+			var all []admitted
+			offered, got, owed := 0.0, 0.0, 0.0
+			for f.now.Sub(began) < length {
+				f.now = f.now.Add(step)
+				at := f.now.Sub(began)
+				split := test.cut > 0 && at >= cutAt && at < healedAt
+				if test.cut > 0 && at >= takeover && successor == nil {
+					f.replaceCoordinator()
+					successor = f.coordinator
+				}
+				// use makes the coordinator of an entry the one that take and report call.
+				use := func(e int) (reached bool) {
+					f.coordinator, f.session = first, 1
+					if successor != nil && (e >= test.cut || at >= healedAt) {
+						f.coordinator, f.session = successor, 2
+					}
+					return !split || e < test.cut || at >= takeover
+				}
+				demand := test.demand
+				if demand < 0 {
+					demand = -demand
+					if at < cutAt+time.Second {
+						demand = 0
+					}
+				}
+				for owed += demand * float64(l.TokensPerSecond) * step.Seconds(); owed > 0; {
+					tokens := int64(2000 + r.IntN(6000))
+					owed -= float64(tokens)
+					offered += float64(tokens)
+					e := r.IntN(test.entries)
+					reached := use(e)
+					if !reached && f.entries[e].NearLimit(f.now, "c", l) {
+						f.entries[e].Doubt()
+					}
+					if f.take(e, tokens, reached) {
+						got += float64(tokens)
+						all = append(all, admitted{at.Seconds(), float64(tokens)})
+					}
+				}
+				for e := range f.entries {
+					if (at+time.Duration(e)*step)%interval < step && use(e) {
+						f.report(e)
+					}
+				}
+			}
+			for i := range all {
+				sum := 0.0
+				for j := i; j < len(all) && all[j].at < all[i].at+8; j++ {
+					sum += all[j].tokens
+				}
+				// The limit with a tenth and 120,000 tokens above it.
+				if most := 1.1*(8*float64(l.TokensPerSecond)+float64(l.BurstTokens)) + 120_000; sum > most {
+					t.Fatalf("got %.0f tokens admitted within 8 s from %.2f s, want at most %.0f", sum, all[i].at, most)
+				}
+			}
+			want := test.least * min(offered, length.Seconds()*float64(l.TokensPerSecond))
+			t.Logf("%.0f of %.0f tokens admitted, %.2f of the rate", got, offered, got/length.Seconds()/float64(l.TokensPerSecond))
+			if got < want {
+				t.Errorf("got %.0f of %.0f tokens admitted, want at least %.0f", got, offered, want)
+			}
+		})
+	}
+}
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -105,6 +105,8 @@
 	avoided map[uint64]avoidance
 	// current is the session of the coordinator that answered the last report, or 0.
 	current uint64
+	// sequence is that of the last report. Only Run uses it.
+	sequence uint64
 	// touched is set when a request has used a limit since the last report.
 	touched bool
 }
@@ -134,11 +136,12 @@
 	c.mu.Lock()
 	c.touched = true
 	current := c.current
-	ask := current != 0 && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
+	ask := current != 0 && !c.meter.Doubted() && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
 	level := c.meter.Level(time.Now(), bucket, bucketLimit)
 	c.mu.Unlock()
 	if ask {
-		if response, err := c.charge(current, bucket, tokens, level); err == nil {
+		response, err := c.charge(current, bucket, tokens, level)
+		if err == nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if response.Admitted {
@@ -146,13 +149,29 @@
 			}
 			return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
 		}
-		// The entry decides by its own copy of the bucket.
+		// The coordinator has failed or is not the only one, so the entry decides by its share of the bucket.
+		c.doubt(current, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.meter.Take(time.Now(), bucket, bucketLimit, tokens)
 }
 
+// doubt makes this entry use its share of the limits after a coordinator has failed, or while another one may act as well.
+func (c *Client) doubt(coordinator uint64, reason error) {
+	c.mu.Lock()
+	confirmed := !c.meter.Doubted()
+	c.meter.Doubt()
+	c.mu.Unlock()
+	if confirmed {
+		c.logConfirmed(coordinator, false, reason)
+	}
+}
+
+func (c *Client) logConfirmed(coordinator uint64, confirmed bool, reason error) {
+	c.config.Events.Write(event.LimitsConfirmed, func(e *log.Entry) { e.Uint64("session", coordinator).Bool("confirmed", confirmed).Err(reason) })
+}
+
 // charge asks the coordinator to charge a customer.
 func (c *Client) charge(coordinator uint64, bucket string, tokens int64, level float64) (*fleetpb.ChargeResponse, error) {
 	own, _ := c.config.Control.SessionID()
@@ -258,11 +277,12 @@
 func (c *Client) report(ctx context.Context) {
 	view := c.config.Control.View()
 	// A session whose lease has expired still identifies this entry, for example while the control group has no leader.
-	own, _ := c.config.Control.SessionID()
+	own, valid := c.config.Control.SessionID()
 	if view.Sessions[own] == nil {
 		return
 	}
 	c.mu.Lock()
+	c.meter.SetExpired(!valid)
 	c.meter.SetEntries(time.Now(), len(view.Sessions))
 	c.meter.Silence = coordinator.Silence(len(view.Sessions))
 	c.mu.Unlock()
@@ -278,6 +298,7 @@
 			return
 		}
 		c.avoid(id)
+		c.doubt(id, err)
 	}
 	c.setCurrent(0, errNoCoordinator)
 }
@@ -325,6 +346,8 @@
 	uses := c.meter.Report(time.Now())
 	c.mu.Unlock()
 	report := c.localReport(own, uses)
+	c.sequence++
+	report.Sequence = c.sequence
 	c.addEvidence(report, id)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -411,11 +434,25 @@
 	for _, u := range response.Customers {
 		levels = append(levels, limit.Use{Bucket: u.Customer, Level: float64(u.Level)})
 	}
+	if response.Unconfirmed {
+		if own, _ := c.config.Control.SessionID(); response.SessionId == own {
+			c.doubt(own, errNoMajority)
+		}
+		return
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	doubted := c.meter.Doubted()
 	c.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
+	c.mu.Unlock()
+	if doubted {
+		c.logConfirmed(response.SessionId, true, nil)
+	}
 }
 
+// errNoMajority means that this entry is a coordinator to which fewer than half of the entries report, so that the others may have
+// another one.
+var errNoMajority = errors.New("no majority of the entries reports to this one")
+
 func (c *Client) peerConn(peer *fleetpb.Session) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -380,3 +380,29 @@
 		t.Error("report of an ended session: got no error, want one")
 	}
 }
+
+// TestCutOffCoordinator guards against a coordinator that others no longer reach, and that goes on admitting requests of a customer
+// beside its successor, so that the fleet admits the whole burst twice.
+func TestCutOffCoordinator(t *testing.T) {
+	entries := startFleet(t, 4)
+	awaitCoordinator(t, entries, 1)
+	entries[0].server.Stop()
+	awaitCoordinator(t, entries[1:], 2)
+	awaitCoordinator(t, entries[:1], 1)
+	time.Sleep(2 * time.Second)
+	admitted := map[bool]int{}
+	const rounds, pause, tokens = 500, 5 * time.Millisecond, 2
+	for range rounds {
+		for i, e := range entries {
+			if ok, _ := e.limiter.Take("c", testLimit, tokens); ok {
+				admitted[i == 0] += tokens
+			}
+		}
+		time.Sleep(pause)
+	}
+	// Beyond the burst: what the entries offer within one report interval.
+	most := int(testLimit.BurstTokens) + len(entries)*tokens*int(coordinator.ReportInterval(len(entries))/pause)
+	if got := admitted[true] + admitted[false]; got > most || admitted[false] < int(testLimit.BurstTokens)/2 {
+		t.Errorf("got %d tokens admitted by the coordinator that is cut off and %d by the others, want at most %d together", admitted[true], admitted[false], most)
+	}
+}
