A withdrawal takes effect only for the incarnation whose process made it

Cause: an upstream withdraws by its ID. A control member that was frozen read the call when it woke, seconds after the upstream had withdrawn at the next member and was running again under the same ID, and withdrew the new process. Its heartbeats were stale from then on, and acknowledged.

Each of three members, leader included, shows it when frozen.

A leader of the build before lacks FindUpstream; the withdrawal then names no incarnation, as before.

--- a/control/fleet/service.go
+++ b/control/fleet/service.go
@@ -157,7 +157,9 @@
 		if err != nil {
 			return nil, err
 		}
-		s.events.Write(event.ControlUpstreamWithdrawn, func(e *log.Entry) { e.Str("upstream", request.Upstream.Id) })
+		s.events.Write(event.ControlUpstreamWithdrawn, func(e *log.Entry) {
+			e.Str("upstream", request.Upstream.Id).Uint64("incarnation", request.Upstream.Incarnation)
+		})
 		return &fleetpb.AnnounceUpstreamResponse{Code: result.Code}, nil
 	}
 	effect, stored := s.state.CompareAnnouncement(request.Upstream)
@@ -184,6 +186,14 @@
 	return &fleetpb.AnnounceUpstreamResponse{Code: code, Desired: stored.GetDesired()}, nil
 }
 
+// FindUpstream implements fleetpb.FleetServer. It confirms that this member leads after the call has arrived.
+func (s *Service) FindUpstream(ctx context.Context, request *fleetpb.FindUpstreamRequest) (*fleetpb.FindUpstreamResponse, error) {
+	if _, err := s.group.ReadIndex(ctx); err != nil {
+		return nil, member.RPCError(err)
+	}
+	return &fleetpb.FindUpstreamResponse{Upstream: s.state.Upstream(request.Id)}, nil
+}
+
 // Claim implements fleetpb.FleetServer.
 func (s *Service) Claim(ctx context.Context, request *fleetpb.ClaimRequest) (*fleetpb.ClaimResponse, error) {
 	if _, err := s.leaderTerm(); err != nil {
--- a/control/server/port.go
+++ b/control/server/port.go
@@ -46,36 +46,79 @@
 	return s.announce(ctx, &fleetpb.AnnounceUpstreamRequest{Upstream: u})
 }
 
-// Withdraw informs the leader that the upstream with the ID leaves permanently.
-func (s *Server) Withdraw(ctx context.Context, id string) error {
-	return s.announce(ctx, &fleetpb.AnnounceUpstreamRequest{Upstream: &fleetpb.Upstream{Id: id}, Withdraw: true})
+// Upstream returns what the group knows of an upstream when the call arrives, or nil if it knows none.
+func (s *Server) Upstream(ctx context.Context, id string) (*fleetpb.Upstream, error) {
+	request := &fleetpb.FindUpstreamRequest{Id: id}
+	var response *fleetpb.FindUpstreamResponse
+	err := s.callLeader(ctx, func(ctx context.Context, leader leaderCalls) (err error) {
+		response, err = leader.FindUpstream(ctx, request)
+		return err
+	})
+	if status.Code(err) == codes.Unimplemented {
+		// An older leader can only withdraw the incarnation that is known when the withdrawal takes effect.
+		return &fleetpb.Upstream{Id: id}, nil
+	}
+	return response.GetUpstream(), eris.Wrapf(err, "find upstream %q", id)
+}
+
+// Withdraw informs the leader that an incarnation of an upstream leaves permanently.
+func (s *Server) Withdraw(ctx context.Context, id string, incarnation uint64) error {
+	return s.announce(ctx, &fleetpb.AnnounceUpstreamRequest{Upstream: &fleetpb.Upstream{Id: id, Incarnation: incarnation}, Withdraw: true})
 }
 
-// announce calls the leader, and retries failed calls until ctx is cancelled. Retries are safe because announcements are idempotent.
 func (s *Server) announce(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) error {
+	var response *fleetpb.AnnounceUpstreamResponse
+	err := s.callLeader(ctx, func(ctx context.Context, leader leaderCalls) (err error) {
+		response, err = leader.AnnounceUpstream(ctx, request)
+		return err
+	})
+	switch {
+	case status.Code(err) == codes.InvalidArgument:
+		return eris.Wrap(err, "the control group refused an invalid announcement of an upstream")
+	case err != nil:
+		return eris.Wrap(err, "announce an upstream to the leader")
+	case response.Code == fleetpb.ResultCode_RESULT_CODE_STALE:
+		return ErrStale
+	}
+	return nil
+}
+
+// leaderCalls are the calls that members make for upstreams. The leader carries them out itself.
+type leaderCalls interface {
+	AnnounceUpstream(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) (*fleetpb.AnnounceUpstreamResponse, error)
+	FindUpstream(ctx context.Context, request *fleetpb.FindUpstreamRequest) (*fleetpb.FindUpstreamResponse, error)
+}
+
+// remoteLeader makes the calls over a connection.
+type remoteLeader struct{ client fleetpb.FleetClient }
+
+// AnnounceUpstream implements leaderCalls.
+func (l remoteLeader) AnnounceUpstream(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) (*fleetpb.AnnounceUpstreamResponse, error) {
+	return l.client.AnnounceUpstream(ctx, request) //nolint:wrapcheck // callLeader inspects its code
+}
+
+// FindUpstream implements leaderCalls.
+func (l remoteLeader) FindUpstream(ctx context.Context, request *fleetpb.FindUpstreamRequest) (*fleetpb.FindUpstreamResponse, error) {
+	return l.client.FindUpstream(ctx, request) //nolint:wrapcheck // callLeader inspects its code
+}
+
+// callLeader makes an idempotent call to the leader, and retries it until ctx is cancelled or the leader refuses it for good.
+func (s *Server) callLeader(ctx context.Context, call func(ctx context.Context, leader leaderCalls) error) error {
 	for {
-		var response *fleetpb.AnnounceUpstreamResponse
 		var err error
 		if s.member.Status().Leading {
-			response, err = s.fleet.AnnounceUpstream(ctx, request)
+			err = call(ctx, s.fleet)
 		} else {
-			err = s.member.CallLeader(ctx, func(ctx context.Context, client fleetpb.FleetClient) error {
-				response, err = client.AnnounceUpstream(ctx, request)
-				return err
-			})
+			err = s.member.CallLeader(ctx, func(ctx context.Context, client fleetpb.FleetClient) error { return call(ctx, remoteLeader{client}) })
 		}
-		switch {
-		case err == nil && response.Code == fleetpb.ResultCode_RESULT_CODE_STALE:
-			return ErrStale
-		case err == nil:
-			return nil
-		case status.Code(err) == codes.InvalidArgument:
-			return eris.Wrap(err, "the control group refused an invalid announcement of an upstream")
+		switch status.Code(err) {
+		case codes.OK, codes.InvalidArgument, codes.Unimplemented:
+			return err
 		}
 		select {
 		case <-time.After(leaderRetryInterval):
 		case <-ctx.Done():
-			return eris.Wrap(err, "announce an upstream to the leader")
+			return err
 		}
 	}
 }
--- a/control/server/restore_test.go
+++ b/control/server/restore_test.go
@@ -34,7 +34,7 @@
 				t.Fatal(err)
 			}
 			restored.start()
-			if err := group[0].server.Withdraw(ctx, "u"); err != nil {
+			if err := group[0].server.Withdraw(ctx, "u", old.Incarnation); err != nil {
 				t.Fatal(err)
 			}
 			if _, err := group[0].server.PutDocument(ctx, 2, []byte("without the key")); err != nil {
--- a/control/state/upstream.go
+++ b/control/state/upstream.go
@@ -27,7 +27,7 @@
 
 func (m *Machine) announceUpstream(c *fleetpb.AnnounceUpstreamRequest) *fleetpb.Result {
 	if c.Withdraw {
-		return m.withdrawUpstream(c.Upstream.GetId())
+		return m.withdrawUpstream(c.Upstream)
 	}
 	if text := checkUpstream(c.Upstream); text != "" {
 		return failure(fleetpb.ResultCode_RESULT_CODE_INVALID, "%s", text)
@@ -75,11 +75,14 @@
 	}
 }
 
-// withdrawUpstream marks an upstream as permanently leaving. The highest possible sequence makes each later announcement of
-// the same incarnation stale.
-func (m *Machine) withdrawUpstream(id string) *fleetpb.Result {
-	known := m.upstreams[id]
-	if known == nil || known.State == fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && known.Sequence == math.MaxUint64 {
+// withdrawUpstream marks an incarnation of an upstream as permanently leaving. The highest possible sequence makes each later
+// announcement of the same incarnation stale. A withdrawal of an incarnation that has been replaced has no effect.
+func (m *Machine) withdrawUpstream(u *fleetpb.Upstream) *fleetpb.Result {
+	known := m.upstreams[u.GetId()]
+	if known == nil || u.Incarnation != 0 && u.Incarnation != known.Incarnation {
+		return success()
+	}
+	if known.State == fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && known.Sequence == math.MaxUint64 {
 		return success()
 	}
 	next := proto.CloneOf(known)
--- a/entry/tcp/tcp.go
+++ b/entry/tcp/tcp.go
@@ -188,6 +188,23 @@
 	}
 }
 
+// PeerClosed reports whether the peer has closed or reset a TCP connection, even if received bytes are still unread.
+func PeerClosed(c net.Conn) bool {
+	tcpConn, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcpConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	if err := raw.Control(func(fd uintptr) { closed = peerClosed(fd) }); err != nil {
+		return true
+	}
+	return closed
+}
+
 // peerClosed reports whether the peer closed or reset the connection, even if received bytes are still unread.
 func peerClosed(fd uintptr) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
--- a/itest/fleet_test.go
+++ b/itest/fleet_test.go
@@ -38,7 +38,7 @@
 	}
 	defer os.RemoveAll(dir)
 	programDir = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "./entry/cmd/...", "./control/cmd/...", "./ctl/cmd/...", "./standin/cmd/...")
+	build := exec.Command("go", "build", "-o", dir+"/", "./entry/cmd/...", "./control/cmd/...", "./ctl/cmd/...", "./standin/cmd/...", "./platform/cmd/...")
 	build.Dir = ".."
 	if out, err := build.CombinedOutput(); err != nil {
 		return 1, fmt.Errorf("build the programs: %w\n%s", err, out)
--- /dev/null
+++ b/itest/platform_test.go
@@ -0,0 +1,188 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"azuredoor.example/bench/fleet"
+	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/fleetrpc"
+	"azuredoor.example/entry/control"
+	"azuredoor.example/platform/standin"
+)
+
+const (
+	platformControls = 3
+	// platformPort is the port for operators, upstreams and callers; platformReadyPort that of readiness checks.
+	platformPort, platformReadyPort = 8100, 8101
+	platformGrace                   = 4 * time.Second
+	platformKey                     = "key"
+)
+
+// platform is a running deployment of the platform's programs, with one entry. Each process has its own address.
+type platform struct {
+	t        *testing.T
+	network  string
+	controls []*fleet.Process
+	entry    *fleet.Process
+}
+
+func (p *platform) address(host, port int) string {
+	return fmt.Sprintf("%s.%d:%d", p.network, host, port)
+}
+
+func (p *platform) controlAddresses() []string {
+	var addresses []string
+	for i := range platformControls {
+		addresses = append(addresses, p.address(11+i, platformPort))
+	}
+	return addresses
+}
+
+func (p *platform) entryAddress() string { return p.address(51, platformPort) }
+
+// startPlatform starts the processes in a network of their own, 127.N.0.x, and puts the first document.
+func startPlatform(t *testing.T) *platform {
+	t.Helper()
+	p := &platform{t: t}
+	for n := 201; n < 250 && p.network == ""; n++ {
+		if lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7999", n)); err == nil {
+			p.network = fmt.Sprintf("127.%d.0", n)
+			t.Cleanup(func() { _ = lock.Close() })
+		}
+	}
+	dir, runner := t.TempDir(), fleet.NewRunner()
+	start := func(role string, host, i int, args ...string) *fleet.Process {
+		name := fmt.Sprintf("%s-%d", role, i+1)
+		common := []string{
+			"-name", name, "-ip", fmt.Sprintf("%s.%d", p.network, host), "-failure-domain", string(rune('a' + i)), "-internal-ports", "7500,7501",
+			"-seeds", strings.Join(p.controlAddresses(), ","), "-listen", p.address(host, platformPort),
+		}
+		process, err := runner.Start(name, filepath.Join(dir, name+".log"), filepath.Join(programDir, "azuredoor-platform-"+role), append(common, args...)...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return process
+	}
+	for i := range platformControls {
+		p.controls = append(p.controls, start("control", 11+i, i, "-data-dir", filepath.Join(dir, fmt.Sprint("data", i)), "-first-start=true", "-announce-every", "400ms"))
+	}
+	p.entry = start("entry", 51, 0, "-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String())
+	t.Cleanup(func() {
+		for _, process := range append(p.controls, p.entry) {
+			_ = process.Signal(syscall.SIGCONT)
+			_ = process.Signal(syscall.SIGKILL)
+			<-process.Done()
+		}
+		if err := runner.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	document, err := standin.Document(1, []string{platformKey})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.await("the first document", func() bool {
+		acknowledged, _ := standin.PutDocument(t.Context(), p.controlAddresses()[0], document)
+		return acknowledged
+	})
+	return p
+}
+
+func (p *platform) await(what string, done func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("%s: not seen within 20 s", what)
+		}
+	}
+}
+
+// tell makes a call of an upstream to a control process and returns the status, 0 without a response within a second.
+func (p *platform) tell(i int, method, id, body string) int {
+	ctx, cancel := context.WithTimeout(p.t.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+p.controlAddresses()[i]+"/-/instances/"+id, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func heartbeatOf(address string, born, sequence int) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":%d}`,
+		standin.Service, address, sequence, born)
+}
+
+// watch follows the upstreams that the control group knows, through the given control process.
+func (p *platform) watch(i int) *control.Client {
+	client := control.New(control.Config{
+		Name: "watcher", PeerAddress: "127.0.0.1:1", FailureDomain: "a", Members: []string{p.address(11+i, 7500)},
+		Dialer: fleetrpc.Dialer{Secret: "azuredoor"}, Events: event.Discard(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return client.Run(ctx) })
+	p.t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	return client
+}
+
+// TestLateWithdrawal guards against a withdrawal that a control process reads only after it was stopped, when the upstream has
+// withdrawn at another one and runs again under its ID: the upstream must stay in use.
+func TestLateWithdrawal(t *testing.T) {
+	t.Parallel()
+	for frozen := range platformControls {
+		t.Run(fmt.Sprint("control process ", frozen+1), func(t *testing.T) {
+			p := startPlatform(t)
+			other := (frozen + 1) % platformControls
+			const address = "127.0.0.1:9"
+			p.await("the first start", func() bool { return p.tell(other, "PUT", "u", heartbeatOf(address, 1000, 1)) == 200 })
+			if err := p.controls[frozen].Signal(syscall.SIGSTOP); err != nil {
+				t.Fatal(err)
+			}
+			if got := p.tell(frozen, "DELETE", "u", ""); got != 0 {
+				t.Fatalf("stopped process: got status %d, want no response", got)
+			}
+			p.await("the withdrawal", func() bool { return p.tell(other, "DELETE", "u", "") == 200 })
+			p.await("the second start", func() bool { return p.tell(other, "PUT", "u", heartbeatOf(address, 2000, 1)) == 200 })
+			view := p.watch(other)
+			if err := p.controls[frozen].Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+			state := func() *fleetpb.Upstream { return view.View().Upstreams["u"] }
+			p.await("the second incarnation", func() bool { return state().GetIncarnation() == 2000 })
+			for sequence, end := 2, time.Now().Add(2*time.Second); time.Now().Before(end); sequence++ {
+				p.tell(other, "PUT", "u", heartbeatOf(address, 2000, sequence))
+				if got := state(); got.State != fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE {
+					t.Fatalf("got state %v of incarnation %d, want it in use", got.State, got.Incarnation)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			if got := p.tell(frozen, "DELETE", "u", ""); got != 200 {
+				t.Errorf("withdrawal of the second incarnation: got status %d, want 200", got)
+			}
+			p.await("the withdrawal of the second incarnation", func() bool { return state().State == fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING })
+		})
+	}
+}
