Do not pass on requests whose callers have left before they were read

Cause: the watch for the end of a caller's connection runs beside the handler, which had often passed the request on when the watch looked for the first time.

Change: the connection is looked at before the handler runs.

Test: TestAbandonedRequest, 20 of 20 requests were served as if their callers were there on the code before, none now.

--- a/entry/http1/http1_test.go
+++ b/entry/http1/http1_test.go
@@ -171,6 +171,41 @@
 	}
 }
 
+// TestAbandonedRequest guards against requests that are passed on although their caller has left before they were read, as after a
+// freeze of this process.
+func TestAbandonedRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const requests = 20
+	for range requests {
+		c := dial(t, ln.Addr().String())
+		writeText(t, c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var read, live atomic.Int64
+	s := New(Config{Bounds: func() Bounds { return Bounds{} }, Handler: handlerFunc(func(x *Exchange) {
+		if read.Add(1); x.Context.Err() == nil {
+			live.Add(1)
+		}
+	})})
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(ln) })
+	for end := time.Now().Add(5 * time.Second); read.Load() < requests && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if got := live.Load(); got != 0 || read.Load() != requests {
+		t.Errorf("got %d of %d requests served as if their callers were there, want none of %d", got, read.Load(), requests)
+	}
+}
+
 // TestDrain guards against a drain that aborts running requests, or that leaves connections open to a process that is
 // about to exit.
 func TestDrain(t *testing.T) {
--- a/entry/tcp/tcp.go
+++ b/entry/tcp/tcp.go
@@ -168,7 +168,8 @@
 		// The read deadline of the request's header and body must not end the watch.
 		err = c.SetReadDeadline(time.Time{})
 	}
-	if err != nil {
+	if err != nil || PeerClosed(c.TCPConn) {
+		// A request that is read late, for example after this process was stopped, must not be passed on.
 		onDisconnect()
 		return func() {}
 	}
