Divide the retry budget between the sides of a split fleet

Cause: a coordinator that is cut off, and its successor, each let the entries that report to them use the whole retry budget, as the response to a report did not say how many entries the sums cover.

Change: the response states how many entries are silent, and an entry uses the part of the budget that belongs to the others and itself; without a coordinator, its own share.

--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -69,9 +69,10 @@
 // AllowShared reports whether a retry is allowed, and counts the retry if so. A retry is allowed if the retries of the
 // fleet stay within percent of the fleet's requests plus the floor. Each peer is assumed to have made as many retries
 // since its last report as this entry made in the current interval. A silent peer is assumed to have used its part of
-// the floor. Entries is the number of all entries, including this one.
-func (b *Budget) AllowShared(now time.Time, percent float64, entries int) bool {
-	if !b.Available(now, percent, entries) {
+// the floor. Entries is the number of all entries, including this one. Part is the part of the fleet that this entry hears of,
+// above 0 and at most 1: the other part may have a budget of its own, so only that part of the whole budget is used.
+func (b *Budget) AllowShared(now time.Time, percent float64, entries int, part float64) bool {
+	if !b.Available(now, percent, entries, part) {
 		return false
 	}
 	b.local.retries[b.local.current%intervalCount]++
@@ -80,14 +81,14 @@
 }
 
 // Available reports whether AllowShared would allow a retry, and counts none.
-func (b *Budget) Available(now time.Time, percent float64, entries int) bool {
+func (b *Budget) Available(now time.Time, percent float64, entries int, part float64) bool {
 	b.local.advance(intervalIndex(now))
 	requests, retries := b.fleetSums(now)
 	allowance := float64(b.floor)
 	if silentPeers := entries - 1 - len(b.peers); silentPeers > 0 {
 		allowance -= float64(b.floor) * float64(silentPeers) / float64(entries)
 	}
-	return float64(retries+1) <= float64(requests)*percent/100+allowance
+	return float64(retries+1) <= part*(float64(requests)*percent/100+allowance)
 }
 
 // fleetSums returns the requests and retries of all entries in the window, as far as reported. For each peer, fleetSums
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -77,7 +77,7 @@
 			// The first entry receives all requests and makes all retries.
 			budgets[0].CountRequest(now)
 			requests++
-			if budgets[0].AllowShared(now, percent, entries) {
+			if budgets[0].AllowShared(now, percent, entries, 1) {
 				retries++
 			}
 			if reportsArrive && step%20 == 0 {
@@ -101,6 +101,50 @@
 	}
 }
 
+// TestSplitBudget guards against two sides of a split fleet that each use the whole retry budget, because the coordinator of one does
+// not hear of the other.
+func TestSplitBudget(t *testing.T) {
+	const entries, floor, percent = 4, 40, 10.0
+	now := time.Unix(1000, 0)
+	var budgets [entries]*Budget
+	for i := range budgets {
+		budgets[i] = WithFloor(floor)
+	}
+	// The first entry is cut off; the others go on reporting to each other.
+	report := func(split bool) {
+		for i, b := range budgets {
+			for j, other := range budgets {
+				if i != j && !(split && (i == 0) != (j == 0)) {
+					q, r := other.Totals()
+					b.AddPeerTotals(now, uint64(j), q, r)
+				}
+			}
+		}
+	}
+	requests, retries := 0, 0
+	for step := range 900 {
+		now = now.Add(10 * time.Millisecond)
+		split := step >= 300
+		for i, b := range budgets {
+			part := 1.0
+			if split {
+				part = map[bool]float64{true: 1.0 / entries, false: (entries - 1.0) / entries}[i == 0]
+			}
+			b.CountRequest(now)
+			requests++
+			if split && b.AllowShared(now, percent, entries, part) {
+				retries++
+			}
+		}
+		if step%20 == 0 {
+			report(split)
+		}
+	}
+	if most := float64(requests)*percent/100 + floor; float64(retries) > most || float64(retries) < most/2 {
+		t.Errorf("got %d retries for %d requests, want at most %.0f and at least half of that", retries, requests, most)
+	}
+}
+
 // TestInTime guards against a retry that cannot end before its deadline.
 func TestInTime(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/entry/retry/silence_test.go
+++ b/entry/retry/silence_test.go
@@ -36,11 +36,11 @@
 func TestAvailableCountsNothing(t *testing.T) {
 	b, now := WithFloor(1), time.Now()
 	for range 5 {
-		if !b.Available(now, 0, 1) {
+		if !b.Available(now, 0, 1, 1) {
 			t.Fatal("got no retry before the first one")
 		}
 	}
-	if !b.AllowShared(now, 0, 1) || b.Available(now, 0, 1) || b.AllowShared(now, 0, 1) {
+	if !b.AllowShared(now, 0, 1, 1) || b.Available(now, 0, 1, 1) || b.AllowShared(now, 0, 1, 1) {
 		t.Error("want one retry")
 	}
 }
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -70,6 +70,8 @@
 	// Demands returns the total demand of this entry's generations on engines, by service.
 	Demands() map[string]place.DemandTotal
 	ObserveDemands(session uint64, totals map[string]place.DemandTotal)
+	// ObserveSilent observes the number of entries whose use the coordinator does not know: all others without a coordinator.
+	ObserveSilent(entries int)
 	// Generations returns the generations of this entry on decode engines.
 	Generations() []place.Generation
 	// PrefillSpeed returns the observed rate of prefill engines in tokens per millisecond, or 0, and the time that a prefill
@@ -300,6 +302,7 @@
 		c.avoid(id)
 		c.doubt(id, err)
 	}
+	c.loads.ObserveSilent(len(view.Sessions) - 1)
 	c.setCurrent(0, errNoCoordinator)
 }
 
@@ -430,6 +433,7 @@
 		demands[d.Service] = place.DemandTotal{Generations: d.Generations, PromptTokens: d.PromptTokens, OutputTokens: d.OutputTokens, MemoryMillis: d.Room}
 	}
 	c.loads.ObserveDemands(response.SessionId, demands)
+	c.loads.ObserveSilent(int(response.Silent))
 	levels := make([]limit.Use, 0, len(response.Customers))
 	for _, u := range response.Customers {
 		levels = append(levels, limit.Use{Bucket: u.Customer, Level: float64(u.Level)})
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -94,6 +94,8 @@
 	f.peerDemands[session] = totals
 }
 
+func (f *fakeLoads) ObserveSilent(int) {}
+
 // peerWork returns the work of all other entries, and of how many coordinators the entry counts loads.
 func (f *fakeLoads) peerWork() (work, coordinators int) {
 	f.mu.Lock()
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -96,6 +96,8 @@
 	changed chan struct{}
 	// entryCount is the number of entries in the view, at least 1.
 	entryCount int
+	// silentEntries is the number of entries whose use the coordinator does not know.
+	silentEntries int
 	// othersReport is set once the coordinator has reported the retries of the other entries.
 	othersReport bool
 	// started is when the process started.
@@ -172,7 +174,12 @@
 func (r *Router) allowRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.budgetEntries())
+	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.budgetEntries(), r.heardPart())
+}
+
+// heardPart returns the part of the entries that the coordinator hears of, counting this one. The caller must hold r.mu.
+func (r *Router) heardPart() float64 {
+	return float64(max(1, r.entryCount-r.silentEntries)) / float64(r.entryCount)
 }
 
 // budgetEntries returns the number of entries that the retry budget counts. The other entries report as one. The caller
@@ -329,6 +336,13 @@
 	}
 }
 
+// ObserveSilent implements usage.Loads.
+func (r *Router) ObserveSilent(entries int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentEntries = entries
+}
+
 // endAttempt records the outcome of an attempt.
 func (r *Router) endAttempt(u place.Upstream, need place.Need, outcome place.Outcome) {
 	r.mu.Lock()
