--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -186,3 +186,60 @@
 		})
 	}
 }
+
+// TestOddHeartbeats guards against control processes that end, stop serving, or use an upstream, because of a heartbeat that no
+// upstream sends.
+func TestOddHeartbeats(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	sound := func(sequence int) string { return heartbeatOf("127.0.0.1:9", 1000, sequence) }
+	p.await("a sound upstream", func() bool { return p.tell(0, "PUT", "sound", sound(1)) == 200 })
+	deep := strings.Repeat(`{"a":`, 200_000) + "1" + strings.Repeat("}", 200_000)
+	with := func(old, replacement string) string { return strings.Replace(sound(1), old, replacement, 1) }
+	for name, test := range map[string]struct{ id, body string }{
+		"nested deeply":              {"odd", `{"state":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + "}"},
+		"nested deeply, too long":    {"odd", deep},
+		"endless number":             {"odd", with(`"slots":8`, `"slots":1e999`)},
+		"too many slots":             {"odd", with(`"slots":8`, `"slots":4294967295`)},
+		"negative slots":             {"odd", with(`"slots":8`, `"slots":-1`)},
+		"no slots":                   {"odd", with(`"slots":8`, `"slots":0`)},
+		"largest sequence":           {"odd", with(`"sequence":1`, `"sequence":18446744073709551615`)},
+		"sequence too large":         {"odd", with(`"sequence":1`, `"sequence":18446744073709551616`)},
+		"born in the future":         {"odd", with(`"born":1000`, `"born":18446744073709551615`)},
+		"port out of range":          {"odd", with("127.0.0.1:9", "127.0.0.1:70000")},
+		"port 0":                     {"odd", with("127.0.0.1:9", "127.0.0.1:0")},
+		"no host":                    {"odd", with("127.0.0.1:9", ":9")},
+		"any host":                   {"odd", with("127.0.0.1:9", "0.0.0.0:9")},
+		"many hosts":                 {"odd", with("127.0.0.1:9", "224.0.0.1:9")},
+		"a name for a host":          {"odd", with("127.0.0.1:9", "localhost:9")},
+		"ID that is no text":         {"%ff%fe", sound(1)},
+		"ID that is too long":        {strings.Repeat("x", 300), sound(1)},
+		"zone that is too long":      {"odd", with(`"zone":"a"`, `"zone":"`+strings.Repeat("z", 300)+`"`)},
+		"bytes that can't be read":   {"odd", "\x00\xff\xfe{"},
+		"no object":                  {"odd", "[]"},
+		"null":                       {"odd", "null"},
+		"second value":               {"odd", sound(1) + sound(1)},
+		"service of another type":    {"odd", with(`"service":"desk"`, `"service":7`)},
+		"state that nobody knows":    {"odd", with(`"state":"ready"`, `"state":"resting"`)},
+		"zone that can't be decoded": {"odd", with(`"zone":"a"`, "\"zone\":\"\xff\"")},
+	} {
+		got := p.tell(0, "PUT", test.id, test.body)
+		// A zone is replaced text, as JSON defines it; the other fields decide whether the upstream is used.
+		if want := 400; got != want && name != "nested deeply, too long" && name != "zone that can't be decoded" || got/100 == 5 {
+			t.Errorf("%s: got status %d, want %d", name, got, want)
+		}
+	}
+	if got := p.tell(0, "DELETE", "%ff", ""); got/100 != 2 && got/100 != 4 {
+		t.Errorf("withdrawal of an ID that is no text: got status %d, want a clear response", got)
+	}
+	view := p.watch(1)
+	p.await("the sound upstream", func() bool { return view.View().Upstreams["sound"] != nil })
+	for i := range p.controls {
+		if !p.controls[i].Running() {
+			t.Errorf("control process %d has ended", i+1)
+		}
+		if got := p.tell(i, "PUT", "sound", sound(2+i)); got != 200 {
+			t.Errorf("control process %d: got status %d for a sound heartbeat, want 200", i+1, got)
+		}
+	}
+}
