Test: nothing is cut at the end of an entry's grace period

An operators' report: requests that came late in the grace period of a planned stop were taken and passed on, and cut at its end.

--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -109,6 +110,25 @@
 	}
 }
 
+// startUpstream starts an upstream whose plain requests take the given time.
+func (p *platform) startUpstream(work time.Duration, journal *standin.Journal) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	u := &standin.Upstream{
+		ID: "u-1", Service: standin.Service, FailureDomain: "a", Born: time.Now().UnixMilli(), AnnouncedAddress: ln.Addr().String(),
+		ControlAddresses: p.controlAddresses(), Journal: journal, Work: work,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return u.Run(ctx, ln) })
+	p.t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+}
+
 // tell makes a call of an upstream to a control process and returns the status, 0 without a response within a second.
 func (p *platform) tell(i int, method, id, body string) int {
 	ctx, cancel := context.WithTimeout(p.t.Context(), time.Second)
@@ -243,3 +263,65 @@
 		}
 	}
 }
+
+// TestPlannedStopOfEntry guards against requests that an entry takes late in its grace period, passes on, and cuts without a
+// response when it ends. Callers keep using their connections, and open new ones, until the process is gone.
+func TestPlannedStopOfEntry(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	journal := standin.NewJournal()
+	p.startUpstream(700*time.Millisecond, journal)
+	p.await("a request served", func() bool {
+		var c standin.Caller
+		defer c.Close()
+		return c.Do(p.entryAddress(), standin.Call{ID: fmt.Sprint("first-", time.Now().UnixNano()), Path: standin.SafePath, Key: platformKey}).Status == 200
+	})
+	var group errgroup.Group
+	var mu sync.Mutex
+	lost, served, late := 0, 0, 0
+	var stopped time.Time
+	for n := range 16 {
+		group.Go(func() error {
+			var c standin.Caller
+			defer c.Close()
+			for i := 0; p.entry.Running(); i++ {
+				call := standin.Call{ID: fmt.Sprintf("r%d-%d", n, i), Path: standin.UnsafePath, Key: platformKey}
+				sent := time.Now()
+				got := c.Do(p.entryAddress(), call)
+				mu.Lock()
+				switch {
+				case got.Status == 200 && got.Complete && got.ContentError == "":
+					served++
+					if !stopped.IsZero() && sent.After(stopped) {
+						late++
+					}
+				case !got.Complete && journal.Run(call.ID).Starts > 0:
+					lost++
+					t.Errorf("request %s, sent %v after the stop signal, ran and got no response: %v", call.ID, sent.Sub(stopped).Round(time.Millisecond), got.Err)
+				}
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	time.Sleep(time.Second)
+	mu.Lock()
+	stopped = time.Now()
+	mu.Unlock()
+	if err := p.entry.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.entry.Done():
+	case <-time.After(platformGrace + 3*time.Second):
+		t.Error("the entry has not ended by the end of its grace period")
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if served < 16 || late == 0 {
+		t.Errorf("got %d requests served, %d of them sent after the signal, want the load to cover the stop", served, late)
+	}
+	t.Logf("%d served, %d sent after the signal, %d lost", served, late, lost)
+}
