--- a/control/server/port.go
+++ b/control/server/port.go
@@ -94,12 +94,12 @@
 
 // AnnounceUpstream implements leaderCalls.
 func (l remoteLeader) AnnounceUpstream(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) (*fleetpb.AnnounceUpstreamResponse, error) {
-	return l.client.AnnounceUpstream(ctx, request) //nolint:wrapcheck // callLeader inspects its code
+	return l.client.AnnounceUpstream(ctx, request)
 }
 
 // FindUpstream implements leaderCalls.
 func (l remoteLeader) FindUpstream(ctx context.Context, request *fleetpb.FindUpstreamRequest) (*fleetpb.FindUpstreamResponse, error) {
-	return l.client.FindUpstream(ctx, request) //nolint:wrapcheck // callLeader inspects its code
+	return l.client.FindUpstream(ctx, request)
 }
 
 // callLeader makes an idempotent call to the leader, and retries it until ctx is cancelled or the leader refuses it for good.
--- a/entry/conn/buffer.go
+++ b/entry/conn/buffer.go
@@ -61,7 +61,7 @@
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err == io.EOF { //nolint:errorlint // body streams return io.EOF bare
+		if err == io.EOF {
 			if len(body) > limit {
 				return nil, fmt.Errorf("%w: more than %d bytes arrived", ErrBodyTooLong, limit)
 			}
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -114,7 +114,7 @@
 	report := func(split bool) {
 		for i, b := range budgets {
 			for j, other := range budgets {
-				if i != j && !(split && (i == 0) != (j == 0)) {
+				if i != j && (!split || (i == 0) == (j == 0)) {
 					q, r := other.Totals()
 					b.AddPeerTotals(now, uint64(j), q, r)
 				}
