A leaving upstream that goes down stays out of use

Cause: markUpstreamsDown replaced the state "leaving", and an upstream that is down is the last choice of entries.

Change: the record keeps whether the upstream was leaving, until its next announcement.

Tests: itest TestLeavingUpstreamStaysOut, with real processes: 20 of 20 requests reached the upstream on the code before, none now; TestUpstreams.

--- a/control/state/machine_test.go
+++ b/control/state/machine_test.go
@@ -307,6 +307,12 @@
 	check("leaving", h.announce("u", 1, 6, leaving), ok, leaving)
 	check("late active", h.announce("u", 1, 5, active), stale, leaving)
 	check("same sequence, other state", h.announce("u", 1, 6, active), stale, leaving)
+	markDown(1)
+	if u := h.machine.Upstream("u"); !u.WasLeaving {
+		t.Errorf("down after leaving: got %v, want it to count as one that was leaving", u)
+	}
+	check("late active after down", h.announce("u", 1, 5, active), stale, down)
+	check("leaving again", h.announce("u", 1, 7, leaving), ok, leaving)
 	check("stopped", setDesired("d1", fleetpb.DesiredState_DESIRED_STATE_STOPPED), ok, leaving)
 	check("restarted", h.announce("u", 2, 1, active), ok, active)
 	if got := h.machine.Upstream("u").Desired; got != fleetpb.DesiredState_DESIRED_STATE_STOPPED {
--- a/control/state/upstream.go
+++ b/control/state/upstream.go
@@ -44,7 +44,7 @@
 	}
 	m.markOthersAtAddressDown(c.Upstream)
 	next := proto.CloneOf(c.Upstream)
-	next.Desired = m.upstreams[next.Id].GetDesired()
+	next.Desired, next.WasLeaving = m.upstreams[next.Id].GetDesired(), false
 	m.putUpstream(next)
 	return success()
 }
@@ -69,9 +69,7 @@
 		if id == u.Id || other.Address != u.Address || other.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
 			continue
 		}
-		next := proto.CloneOf(other)
-		next.State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
-		m.putUpstream(next)
+		m.markDown(other)
 	}
 }
 
@@ -166,13 +164,20 @@
 		if known.State == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN {
 			continue
 		}
-		next := proto.CloneOf(known)
-		next.State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
-		m.putUpstream(next)
+		m.markDown(known)
 	}
 	return success()
 }
 
+// markDown marks an upstream as down. Whether it was leaving is kept, because one that is only cut off from the control group goes
+// on serving until it ends.
+func (m *Machine) markDown(u *fleetpb.Upstream) {
+	next := proto.CloneOf(u)
+	next.WasLeaving = u.State == fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING
+	next.State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
+	m.putUpstream(next)
+}
+
 // Removable reports whether the record of u can be removed without losing an operator's setting: u is down, and its
 // desired state is the default.
 func Removable(u *fleetpb.Upstream) bool {
--- a/entry/coordinator/upstreams.go
+++ b/entry/coordinator/upstreams.go
@@ -26,7 +26,7 @@
 		}
 		upstream := place.Upstream{
 			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
-			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
+			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && !u.WasLeaving, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
 			Capacity: int(u.Slots) * requestsPerSlot,
 		}
 		if view.Document != nil {
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -207,6 +208,51 @@
 	}
 }
 
+// TestLeavingUpstreamStaysOut guards against a leaving upstream that gets requests again because it is cut off from the control group,
+// so that it counts as down and no longer as leaving.
+func TestLeavingUpstreamStaysOut(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reached atomic.Int64
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Stamp", "s")
+	})}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(ln) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = group.Wait()
+	})
+	send := func(i int) int {
+		var c standin.Caller
+		defer c.Close()
+		return c.Do(p.entryAddress(), standin.Call{ID: fmt.Sprint("r", i), Path: standin.SafePath, Key: platformKey}).Status
+	}
+	ready := heartbeatOf(ln.Addr().String(), 1000, 1)
+	p.await("the upstream in use", func() bool { return p.tell(0, "PUT", "u", ready) == 200 && send(0) == 200 })
+	draining := strings.Replace(heartbeatOf(ln.Addr().String(), 1000, 1_000_000), "ready", "draining", 1)
+	p.await("the upstream that leaves", func() bool { return p.tell(0, "PUT", "u", draining) == 200 })
+	view := p.watch(0)
+	p.await("the upstream down", func() bool {
+		return view.View().Upstreams["u"].GetState() == fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
+	})
+	before := reached.Load()
+	for i := range 20 {
+		if got := send(1 + i); got != 503 {
+			t.Errorf("request %d: got status %d, want 503", i, got)
+		}
+	}
+	if got := reached.Load() - before; got != 0 {
+		t.Errorf("got %d requests at the upstream that leaves, want none", got)
+	}
+}
+
 // TestOddHeartbeats guards against control processes that end, stop serving, or use an upstream, because of a heartbeat that no
 // upstream sends.
 func TestOddHeartbeats(t *testing.T) {
