Retry-After of an entry without a coordinator counts what the request lacks

A caller whose request needed more than the rest of the entry's share was told to return after 1 ms or at once, because only a level below zero counted. TestRetryAfterOfShare.

--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -313,20 +313,25 @@
 // Take reports whether a request is admitted, and returns the delay before a retry if the request is refused.
 func (m *Meter) Take(now time.Time, name string, limit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	b := m.bucket(now, name, limit)
-	if b.level > 0 && (!b.shared || m.shareCovers(b, tokens)) {
+	needed := 0.0
+	if b.shared {
+		needed = m.neededShare(b, tokens)
+	}
+	if b.level > 0 && b.level >= needed {
 		b.add(-float64(tokens))
 		b.admitted += tokens
 		return true, 0
 	}
-	wait := (b.refusedWork - b.level) / float64(limit.TokensPerSecond)
+	// A coordinator that returns confirms the whole rate.
+	wait := (b.refusedWork + needed - b.level) / float64(limit.TokensPerSecond)
 	b.refusedWork = min(b.refusedWork+float64(tokens), refusedWorkWindow.Seconds()*float64(limit.TokensPerSecond))
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
-// shareCovers reports whether this entry's share of a bucket holds the tokens of a request, or is full if it is smaller than that.
-// Otherwise, each entry of a large fleet would admit one request of a customer that has used up its limit.
-func (m *Meter) shareCovers(b *meterBucket, tokens int64) bool {
-	return b.level >= min(float64(tokens), float64(b.limit.BurstTokens)/float64(m.entries))
+// neededShare returns the level that this entry's share of a bucket must have for a request: its tokens, or the whole share if that is
+// smaller. Otherwise, each entry of a large fleet would admit one request of a customer that has used up its limit.
+func (m *Meter) neededShare(b *meterBucket, tokens int64) float64 {
+	return min(float64(tokens), float64(b.limit.BurstTokens)/float64(m.entries))
 }
 
 // NearLimit reports whether a bucket is so low that the entries together could exceed the limit between two reports, so that
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -579,6 +579,23 @@
 	}
 }
 
+// TestRetryAfterOfShare guards against callers that are told to return at once while an entry without a coordinator has less of a
+// customer's share than their request needs.
+func TestRetryAfterOfShare(t *testing.T) {
+	l := config.Limit{TokensPerSecond: 1000, BurstTokens: 8000}
+	now := time.Unix(1000, 0)
+	m := NewMeter()
+	m.SetEntries(now, 4)
+	m.Doubt()
+	if ok, _ := m.Take(now, "c", l, 1500); !ok {
+		t.Fatal("the first request was refused, want it admitted by the share of 2000 tokens")
+	}
+	// 500 tokens are left of the share.
+	if ok, wait := m.Take(now, "c", l, 1500); ok || wait < time.Second {
+		t.Errorf("got %v, retry after %v, want a refusal for at least 1 s", ok, wait)
+	}
+}
+
 // TestSplitFleet guards against two sides of a split fleet that each spend the whole burst and rate of a customer, because a
 // coordinator that is cut off goes on beside its successor.
 func TestSplitFleet(t *testing.T) {
