--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -69,8 +69,8 @@
 // AllowShared reports whether a retry is allowed, and counts the retry if so. A retry is allowed if the retries of the
 // fleet stay within percent of the fleet's requests plus the floor. Each peer is assumed to have made as many retries
 // since its last report as this entry made in the current interval. A silent peer is assumed to have used its part of
-// the floor. Entries is the number of all entries, including this one. Part is the part of the fleet that this entry hears of,
-// above 0 and at most 1: the other part may have a budget of its own, so only that part of the whole budget is used.
+// the floor. Entries is the number of all entries, including this one. Part is the part of the fleet whose use this entry
+// knows, above 0 and at most 1: the other part may use a budget of its own, so only that part of the whole budget is used.
 func (b *Budget) AllowShared(now time.Time, percent float64, entries int, part float64) bool {
 	if !b.Available(now, percent, entries, part) {
 		return false
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -102,7 +102,7 @@
 }
 
 // TestSplitBudget guards against two sides of a split fleet that each use the whole retry budget, because the coordinator of one does
-// not hear of the other.
+// not know the use of the other.
 func TestSplitBudget(t *testing.T) {
 	const entries, floor, percent = 4, 40, 10.0
 	now := time.Unix(1000, 0)
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -138,7 +138,7 @@
 	c.mu.Lock()
 	c.touched = true
 	current := c.current
-	ask := current != 0 && !c.meter.Doubted() && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
+	ask := current != 0 && !c.meter.Suspended() && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
 	level := c.meter.Level(time.Now(), bucket, bucketLimit)
 	c.mu.Unlock()
 	if ask {
@@ -152,18 +152,18 @@
 			return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
 		}
 		// The coordinator has failed or is not the only one, so the entry decides by its share of the bucket.
-		c.doubt(current, err)
+		c.suspend(current, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.meter.Take(time.Now(), bucket, bucketLimit, tokens)
 }
 
-// doubt makes this entry use its share of the limits after a coordinator has failed, or while another one may act as well.
-func (c *Client) doubt(coordinator uint64, reason error) {
+// suspend makes this entry use its share of the limits after a coordinator has failed, or while another one may act as well.
+func (c *Client) suspend(coordinator uint64, reason error) {
 	c.mu.Lock()
-	confirmed := !c.meter.Doubted()
-	c.meter.Doubt()
+	confirmed := !c.meter.Suspended()
+	c.meter.Suspend()
 	c.mu.Unlock()
 	if confirmed {
 		c.logConfirmed(coordinator, false, reason)
@@ -300,7 +300,7 @@
 			return
 		}
 		c.avoid(id)
-		c.doubt(id, err)
+		c.suspend(id, err)
 	}
 	c.loads.ObserveSilent(len(view.Sessions) - 1)
 	c.setCurrent(0, errNoCoordinator)
@@ -440,15 +440,15 @@
 	}
 	if response.Unconfirmed {
 		if own, _ := c.config.Control.SessionID(); response.SessionId == own {
-			c.doubt(own, errNoMajority)
+			c.suspend(own, errNoMajority)
 		}
 		return
 	}
 	c.mu.Lock()
-	doubted := c.meter.Doubted()
+	suspended := c.meter.Suspended()
 	c.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
 	c.mu.Unlock()
-	if doubted {
+	if suspended {
 		c.logConfirmed(response.SessionId, true, nil)
 	}
 }
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -174,11 +174,11 @@
 func (r *Router) allowRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.budgetEntries(), r.heardPart())
+	return r.budget(service).AllowShared(time.Now(), r.config.RetryPercent, r.budgetEntries(), r.knownPart())
 }
 
-// heardPart returns the part of the entries that the coordinator hears of, counting this one. The caller must hold r.mu.
-func (r *Router) heardPart() float64 {
+// knownPart returns the part of the entries whose use the coordinator knows, counting this one. The caller must hold r.mu.
+func (r *Router) knownPart() float64 {
 	return float64(max(1, r.entryCount-r.silentEntries)) / float64(r.entryCount)
 }
 
--- a/entry/web/silence.go
+++ b/entry/web/silence.go
@@ -220,5 +220,5 @@
 func (r *Router) retryAvailable(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).Available(time.Now(), r.config.RetryPercent, r.budgetEntries(), r.heardPart())
+	return r.budget(service).Available(time.Now(), r.config.RetryPercent, r.budgetEntries(), r.knownPart())
 }
