Bound what the kernel holds of an upstream's bytes

Cause: TestEndlessResponseToRelease failed once on x86-64 beside load: 18,653,184 bytes taken from the engine where at most 8,388,608 are wanted. It counts what the kernel accepts, and a receive buffer grows to 32 MB here (tcp_rmem); the process itself reads 4 KB of such a response. TestEndlessResponses counts in the same way, with 40 MB.

Change: connections to upstreams can have a receive buffer of a fixed size, which also bounds what one upstream takes up of a VM's memory without being read. The bounds of the tests are as they were. Ruled out: bytes read by the process, bounded by maxCallBytes before as well.

--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -71,6 +71,9 @@
 	KeepAliveTimeout time.Duration
 	// MaxIdlePerAddress limits the idle connections to each address [32].
 	MaxIdlePerAddress int
+	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of each connection, so that a peer that sends without end takes
+	// up little memory there [chosen by the kernel, which lets it grow].
+	ReceiveBuffer int
 	// LargeBodies limits the bytes of the large response bodies that are read into memory at the same time [64 MiB].
 	LargeBodies int64
 }
--- a/entry/conn/pool.go
+++ b/entry/conn/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -36,7 +37,7 @@
 // NewPool returns a Pool without connections.
 func NewPool(options Options) *Pool {
 	options.setDefaults()
-	return &Pool{
+	p := &Pool{
 		options: options, seed: maphash.MakeSeed(), buffers: newBodyBuffers(options.LargeBodies),
 		dialer: net.Dialer{
 			Timeout:         options.ConnectTimeout,
@@ -44,6 +45,11 @@
 		},
 		idle: map[string][]*pooledConn{}, open: map[string]int{},
 	}
+	if options.ReceiveBuffer > 0 {
+		// The size has to be set before the connection is opened, because the peer learns the scale of its window then.
+		p.dialer.Control = func(_, _ string, c syscall.RawConn) error { return tcp.SetReceiveBuffer(c, options.ReceiveBuffer) }
+	}
+	return p
 }
 
 // ErrLimit means that the limit of open connections to an address is reached.
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -280,7 +280,7 @@
 	add("e", "decode", decode)
 	b := &testRouter{control: &fakeControl{view: view}, limiter: &fakeLimiter{}}
 	root := metric.New("test")
-	pool := conn.NewPool(conn.Options{})
+	pool := conn.NewPool(conn.Options{ReceiveBuffer: 256 << 10})
 	var background errgroup.Group
 	router := New(Config{
 		Codec: testCodec{}, Control: b.control, Limiter: b.limiter, Pool: pool, FreshFor: time.Second, Grace: 8 * time.Second,
