Keep customers' limits with any part of the fleet cut off, at any number of entries

Cause, by the sum over the fleet (docs/notes/limits.md): an entry that no coordinator confirms admitted one request of any size with a full share. At 118 entries a share is a tenth of a request, so that they admit 2.5 bursts at once when the coordinator is cut off. Besides, each entry admitted half a burst before it asked, so that a burst through all entries ran ahead of the reports; and a new coordinator took the first half second after its majority for the whole level, while silent entries had shares of it.

Change: an entry asks the coordinator beyond its part of a fifth of the burst. A request that is larger than the entry's share waits until the next coordinator confirms the limit, and is then admitted by lot, with the probability that its share covers. A new coordinator withholds the shares of silent entries at once.

--- a/entry/limit/authority.go
+++ b/entry/limit/authority.go
@@ -28,6 +28,14 @@
 	return m.majority
 }
 
+// AuthorityAge returns for how long this meter has been authoritative, 0 if it is not.
+func (m *Meter) AuthorityAge(now time.Time) time.Duration {
+	if !m.Authoritative(now) {
+		return 0
+	}
+	return now.Sub(m.majorityAt)
+}
+
 // recount looks at the ages of all reports, unless it did so just before.
 func (m *Meter) recount(now time.Time) {
 	if now.Sub(m.countedAt) < m.recheckInterval() {
@@ -92,8 +100,7 @@
 // withhold deducts the shares of silent peers from the level, because they may be admitting requests on their own.
 func (m *Meter) withhold(now time.Time, name string, b *meterBucket) {
 	silent := m.silentPeers(now)
-	if len(silent) == 0 || m.coordinates && (!m.majority || now.Sub(m.majorityAt) < m.AuthorityPeriod()) {
-		// After another coordinator, each entry gets the time to report once.
+	if len(silent) == 0 || m.coordinates && !m.majority {
 		return
 	}
 	whole := b.level
--- a/entry/limit/meter.go
+++ b/entry/limit/meter.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"azuredoor.example/core/config"
@@ -11,6 +12,10 @@
 	DefaultSilence = time.Second
 	// nearLimitShare is the share of a bucket's burst below which it is near its limit.
 	nearLimitShare = 0.5
+	// uncountedShare is the share of a bucket's burst that all entries together may admit before the coordinator has counted it.
+	uncountedShare = 0.2
+	// unconfirmedShare is the share of a bucket's burst that all entries together have at most at once while no coordinator confirms it.
+	unconfirmedShare = 1
 	// refusedWorkWindow limits the refused work that counts towards a retry delay, in time at the rate of the limit.
 	refusedWorkWindow = 2 * time.Second
 )
@@ -32,13 +37,13 @@
 // Each entry keeps a copy of each bucket and deducts the tokens that it admits and those that peers report. A request of
 // any size is admitted while the level is above 0, and the level may become negative, so small requests do not starve
 // large ones of the same customer. Tokens admitted by several entries between two reports are paid back from the refill,
-// so the average never exceeds the rate; a window exceeds rate and burst by at most one request of each entry plus the
-// tokens that the entries admit within one report interval. While a peer is silent, an entry reserves an equal share of
-// the rate for the peer.
+// so the average never exceeds the rate. While a peer is silent, an entry reserves an equal share of the rate for the peer.
 //
 // In a fleet with a coordinator, the coordinator's meter observes the reports of all entries, and the meters of the
-// entries have no peers: Confirm adopts the levels of the coordinator. An entry without confirmation has its equal share
-// of each rate and of what is left of each burst.
+// entries have no peers: Confirm adopts the levels of the coordinator. An entry admits little before the coordinator has counted
+// it, see MustAsk. An entry without confirmation has its equal share of each rate and of a part of what is left of each burst. A
+// request that is larger than this share is admitted by lot, so that the entries together do not exceed it. The sum over the fleet is in
+// docs/notes/limits.md.
 //
 // A coordinator that is cut off does not know of its successor, so it confirms levels only while it is the only one: see
 // Authoritative. Both sides of a split fleet together then admit no more than a whole one.
@@ -68,6 +73,8 @@
 	expired bool
 	// confirmedBy is the session of the coordinator whose levels were adopted last.
 	confirmedBy uint64
+	// Random draws the lots of requests that are larger than the share of this entry. Entries must not have the same seed.
+	Random *rand.Rand
 }
 
 type meterBucket struct {
@@ -102,7 +109,10 @@
 
 // NewMeter returns a meter without peers.
 func NewMeter() *Meter {
-	return &Meter{Silence: DefaultSilence, buckets: map[string]*meterBucket{}, peers: map[uint64]*meterPeer{}}
+	return &Meter{
+		Silence: DefaultSilence, buckets: map[string]*meterBucket{}, peers: map[uint64]*meterPeer{},
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // SetEntries sets the number of entries that share the limits through a coordinator, including this one. A meter counts as
@@ -172,10 +182,15 @@
 	b.shared, b.level = unconfirmed, b.whole
 	if unconfirmed {
 		// Each entry pays a debt back whole, because it does not know what the others do.
-		b.level = min(b.whole, b.whole/float64(m.entries))
+		b.level = min(b.whole, b.whole/float64(m.entries), m.largestShare(b))
 	}
 }
 
+// largestShare returns the most tokens of a bucket that this entry has while no coordinator confirms the level.
+func (m *Meter) largestShare(b *meterBucket) float64 {
+	return unconfirmedShare * float64(b.limit.BurstTokens) / float64(m.entries)
+}
+
 // add changes the level, up to a full bucket.
 func (b *meterBucket) add(tokens float64) {
 	b.level = min(b.level+tokens, float64(b.limit.BurstTokens))
@@ -210,7 +225,7 @@
 	}
 	burst := float64(b.limit.BurstTokens)
 	if b.shared {
-		gain, burst = gain/float64(m.entries), burst/float64(m.entries)
+		gain, burst = gain/float64(m.entries), m.largestShare(b)
 		if m.expired {
 			gain = 0
 		}
@@ -224,9 +239,9 @@
 	b := m.bucket(now, name, limit)
 	needed := 0.0
 	if b.shared {
-		needed = m.neededShare(b, tokens)
+		needed = min(float64(tokens), m.largestShare(b))
 	}
-	if b.level > 0 && b.level >= needed {
+	if b.level > 0 && b.level >= needed && (!b.shared || m.drawLot(b, tokens)) {
 		b.add(-float64(tokens))
 		b.admitted += tokens
 		return true, 0
@@ -237,18 +252,42 @@
 	return false, time.Duration(wait*float64(time.Second)) + time.Millisecond
 }
 
-// neededShare returns the level that this entry's share of a bucket must have for a request: its tokens, or the whole share if that is
-// smaller. Otherwise, each entry of a large fleet would admit one request of a customer that has used up its limit.
-func (m *Meter) neededShare(b *meterBucket, tokens int64) float64 {
-	return min(float64(tokens), float64(b.limit.BurstTokens)/float64(m.entries))
+// drawLot reports whether the share of this entry, which is enough for the request or whole, admits it. A request that is larger is
+// admitted with a probability of its part that the share covers. If the lot decides against it, the share is used up all the same.
+// Otherwise, each entry of a large fleet would admit one large request of a customer, many times the limit together.
+func (m *Meter) drawLot(b *meterBucket, tokens int64) bool {
+	covered := b.level
+	if float64(tokens) <= covered {
+		return true
+	}
+	// What is admitted beyond the share is no debt of this entry: on average, the lots of the others pay for it.
+	b.level = 0
+	if m.Random.Float64()*float64(tokens) >= covered {
+		return false
+	}
+	b.level += float64(tokens)
+	return true
 }
 
-// NearLimit reports whether a bucket is so low that the entries together could exceed the limit between two reports, so that
-// the coordinator has to decide.
-func (m *Meter) NearLimit(now time.Time, name string, limit config.Limit) bool {
-	return m.entries > 1 && m.bucket(now, name, limit).level < nearLimitShare*float64(limit.BurstTokens)
+// MustAsk reports whether the coordinator has to decide on a request, because the entries together could exceed the limit between two
+// reports: the bucket is low, or this entry would admit more than its part of what may be uncounted.
+func (m *Meter) MustAsk(now time.Time, name string, limit config.Limit, tokens int64) bool {
+	if m.entries <= 1 {
+		return false
+	}
+	b, burst := m.bucket(now, name, limit), float64(limit.BurstTokens)
+	uncounted := float64(b.admitted - b.acknowledged + tokens)
+	return b.level < nearLimitShare*burst || uncounted > uncountedShare*burst/float64(m.entries)
+}
+
+// Covers reports whether what this entry has of a bucket is enough for a request.
+func (m *Meter) Covers(now time.Time, name string, limit config.Limit, tokens int64) bool {
+	return m.bucket(now, name, limit).level >= float64(tokens)
 }
 
+// Unconfirmed reports whether this entry has its share of each limit only.
+func (m *Meter) Unconfirmed(now time.Time) bool { return m.unconfirmed(now) }
+
 // Admit charges a request that the coordinator has admitted.
 func (m *Meter) Admit(now time.Time, name string, limit config.Limit, tokens int64) {
 	b := m.bucket(now, name, limit)
--- a/entry/limit/meter_test.go
+++ b/entry/limit/meter_test.go
@@ -245,8 +245,9 @@
 
 func newCoordinatedFleet(n int, l config.Limit) *coordinatedFleet {
 	f := &coordinatedFleet{now: time.Unix(1000, 0), limit: l, answered: map[int]answeredReport{}}
-	for range n {
+	for i := range n {
 		m := NewMeter()
+		m.Random = rand.New(rand.NewPCG(uint64(i), uint64(n)))
 		m.SetEntries(f.now, n)
 		f.entries = append(f.entries, m)
 	}
@@ -290,9 +291,20 @@
 // take charges a request as an entry does: near the limit, the coordinator decides.
 func (f *coordinatedFleet) take(entry int, tokens int64, reached bool) bool {
 	m := f.entries[entry]
+	if reached && m.Unconfirmed(f.now) && !m.Covers(f.now, "c", f.limit, tokens) {
+		// The request waits until the coordinator confirms the limit, to which all entries report meanwhile. A coordinator that had no
+		// reports for some time counts only those that come a little later.
+		for range 2 {
+			for i := range f.entries {
+				f.report(i)
+			}
+			f.now = f.now.Add(settleTime)
+		}
+		f.report(entry)
+	}
 	last := f.answered[entry]
 	reached = reached && last.session == f.session && f.now.Sub(last.at) <= m.Silence
-	if reached && !m.Suspended() && m.NearLimit(f.now, "c", f.limit) {
+	if reached && !m.Suspended() && m.MustAsk(f.now, "c", f.limit, tokens) {
 		if !f.coordinator.Authoritative(f.now) {
 			m.Suspend()
 			ok, _ := m.Take(f.now, "c", f.limit, tokens)
--- a/entry/limit/split_test.go
+++ b/entry/limit/split_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// TestSplitFleet guards against two sides of a split fleet that each spend the whole burst and rate of a customer, because a
-// coordinator that is cut off goes on beside its successor.
+// TestSplitFleet guards against two sides of a split fleet that each admit the whole burst and rate of a customer, because a coordinator
+// that is cut off continues to confirm levels after the others have chosen another one.
 func TestSplitFleet(t *testing.T) {
 	l := config.Limit{TokensPerSecond: 130_000, BurstTokens: 130_000}
 	const (
@@ -85,7 +85,7 @@
 					offered += float64(tokens)
 					e := r.IntN(test.entries)
 					reached := use(e)
-					if !reached && f.entries[e].NearLimit(f.now, "c", l) {
+					if !reached && f.entries[e].MustAsk(f.now, "c", l, tokens) {
 						f.entries[e].Suspend()
 					}
 					if f.take(e, tokens, reached) {
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -36,6 +36,9 @@
 	reportTimeout = 650 * time.Millisecond
 	// chargeTimeout bounds the call that charges a customer near its limit.
 	chargeTimeout = 100 * time.Millisecond
+	// minConfirmWait and one report interval bound how long after the last confirmation a request that is larger than this entry's share of
+	// a limit waits for a coordinator to confirm the limit. A coordinator that fails is replaced within about that time.
+	minConfirmWait = 700 * time.Millisecond
 	// placeTimeout bounds the first response to a placement.
 	placeTimeout = 250 * time.Millisecond
 	// minAvoidance is how long a coordinator that failed is not asked again. It doubles with each failure up to
@@ -111,6 +114,9 @@
 	sequence uint64
 	// touched is set when a request has used a limit since the last report.
 	touched bool
+	// confirmed is closed and replaced when a coordinator confirms the levels. unconfirmedAt is when none was found to do so any more.
+	confirmed     chan struct{}
+	unconfirmedAt time.Time
 }
 
 type avoidance struct {
@@ -125,7 +131,7 @@
 	}
 	return &Client{
 		config: c, meter: limit.NewMeter(), conns: map[uint64]*grpc.ClientConn{}, avoided: map[uint64]avoidance{},
-		kick: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), confirmed: make(chan struct{}),
 	}
 }
 
@@ -135,28 +141,64 @@
 // Take reports whether a request of a customer is admitted, and charges its tokens if so. Otherwise, Take returns the time
 // after which to retry.
 func (c *Client) Take(bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
-	c.mu.Lock()
-	c.touched = true
-	current := c.current
-	ask := current != 0 && !c.meter.Suspended() && c.meter.NearLimit(time.Now(), bucket, bucketLimit)
-	level := c.meter.Level(time.Now(), bucket, bucketLimit)
-	c.mu.Unlock()
-	if ask {
-		response, err := c.charge(current, bucket, tokens, level)
-		if err == nil {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if response.Admitted {
-				c.meter.Admit(time.Now(), bucket, bucketLimit, tokens)
+	for {
+		c.mu.Lock()
+		now := time.Now()
+		c.touched = true
+		current, confirmed := c.current, c.confirmed
+		asks := !c.meter.Unconfirmed(now) && c.meter.MustAsk(now, bucket, bucketLimit, tokens)
+		if asks && current == 0 {
+			c.meter.Suspend()
+			asks = false
+		}
+		wait := c.confirmWait(now)
+		if !asks && (wait <= 0 || c.meter.Covers(now, bucket, bucketLimit, tokens)) {
+			ok, retryAfter = c.meter.Take(now, bucket, bucketLimit, tokens)
+			c.mu.Unlock()
+			return ok, retryAfter
+		}
+		level := c.meter.Level(now, bucket, bucketLimit)
+		c.mu.Unlock()
+		if asks {
+			response, err := c.charge(current, bucket, tokens, level)
+			if err == nil {
+				return c.admit(response, bucket, bucketLimit, tokens)
 			}
-			return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
+			// The coordinator has failed or is not the only one, so the entry decides by its share of the bucket, unless one confirms
+			// the whole level soon.
+			c.suspend(current, err)
+			continue
 		}
-		// The coordinator has failed or is not the only one, so the entry decides by its share of the bucket.
-		c.suspend(current, err)
+		timer := time.NewTimer(wait)
+		select {
+		case <-confirmed:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
+}
+
+// confirmWait returns how long a request that is larger than this entry's share still waits for a coordinator to confirm the limits. It
+// is 0 while one does, and when none has for so long that waiting would not help. The caller must hold c.mu.
+func (c *Client) confirmWait(now time.Time) time.Duration {
+	if !c.meter.Unconfirmed(now) {
+		c.unconfirmedAt = time.Time{}
+		return 0
+	}
+	if c.unconfirmedAt.IsZero() {
+		c.unconfirmedAt = now
+	}
+	return c.unconfirmedAt.Add(minConfirmWait + coordinator.ReportInterval(len(c.config.Control.View().Sessions))).Sub(now)
+}
+
+// admit applies the coordinator's decision on a request.
+func (c *Client) admit(response *fleetpb.ChargeResponse, bucket string, bucketLimit config.Limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.meter.Take(time.Now(), bucket, bucketLimit, tokens)
+	if response.Admitted {
+		c.meter.Admit(time.Now(), bucket, bucketLimit, tokens)
+	}
+	return response.Admitted, time.Duration(response.RetryAfterMillis) * time.Millisecond
 }
 
 // suspend makes this entry use its share of the limits after a coordinator has failed, or while another one may act as well.
@@ -447,6 +489,8 @@
 	c.mu.Lock()
 	suspended := c.meter.Suspended()
 	c.meter.Confirm(time.Now(), response.SessionId, reported, levels, view.Limit)
+	close(c.confirmed)
+	c.confirmed = make(chan struct{})
 	c.mu.Unlock()
 	if suspended {
 		c.logConfirmed(response.SessionId, true, nil)
