--- a/control/admin/group.go
+++ b/control/admin/group.go
@@ -191,6 +191,8 @@
 	Sessions  int             `json:"sessions"`
 	Claims    int             `json:"claims"`
 	Upstreams []upstreamCount `json:"upstreams"`
+	// Evacuations holds those in force.
+	Evacuations []evacuationBody `json:"evacuations"`
 }
 
 type upstreamGroup struct {
@@ -213,7 +215,7 @@
 	body := statusBody{
 		Confirmed: err == nil, Member: formatID(current.ID), Term: current.Term, Applied: current.Applied,
 		Revision: s.config.State.Revision(), Members: s.memberBodies(current), Sessions: len(s.config.State.Sessions()),
-		Claims: s.config.State.ClaimCount(), Upstreams: s.countUpstreams(),
+		Claims: s.config.State.ClaimCount(), Upstreams: s.countUpstreams(), Evacuations: s.evacuationBodies(),
 	}
 	if current.Leader != 0 {
 		body.Leader = formatID(current.Leader)
--- a/control/admin/server.go
+++ b/control/admin/server.go
@@ -46,6 +46,11 @@
 	ConfigRevision(session uint64) uint64
 }
 
+// Running provides the number of requests that entries run in an evacuated failure domain.
+type Running interface {
+	RunningIn(domain string) int
+}
+
 // Config configures a Server.
 type Config struct {
 	Group Group
@@ -53,8 +58,10 @@
 	Source    string
 	State     *state.Machine
 	Revisions Revisions
-	Tokens    *Tokens
-	Events    *event.Logger
+	// Running may be nil.
+	Running Running
+	Tokens  *Tokens
+	Events  *event.Logger
 }
 
 // Server serves the operators' API of one member.
@@ -181,6 +188,9 @@
 		"GET upstreams":            s.linearizableRead(s.upstreams),
 		"POST upstreams/x/desired": s.setDesired,
 		"DELETE upstreams/x":       s.removeUpstream,
+		"GET evacuations":          s.linearizableRead(s.evacuations),
+		"POST evacuations/x":       s.evacuate,
+		"DELETE evacuations/x":     s.withdrawEvacuation,
 		"GET members":              s.linearizableRead(s.members),
 		"POST members":             s.onLeader(s.addMember),
 		"DELETE members/x":         s.onLeader(s.removeMember),
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -32,6 +33,8 @@
 // Config configures a control process.
 type Config struct {
 	Name, IP, FailureDomain, Region string
+	// FailureDomains maps the failure domains of the fleet to their regions; empty if they are not known.
+	FailureDomains map[string]string
 	// Listen is the address for operators and upstreams, IP:port.
 	Listen string
 	// InternalPorts holds the first and last port for calls between the fleet's processes, separated by a comma; only the
@@ -72,6 +75,7 @@
 	s.Text(&c.IP, "ip", "", "IP number of this VM")
 	s.Text(&c.FailureDomain, "failure-domain", "", "failure domain of this VM")
 	s.Text(&c.Region, "region", "", "region of this VM")
+	s.Pairs(&c.FailureDomains, "failure-domains", "failure domains of the fleet with their regions, as domain=region, separated by commas")
 	s.Address(&c.Listen, "listen", "", "IP:port for operators and upstreams")
 	s.Text(&c.InternalPorts, "internal-ports", "", "first and last port for the fleet's own calls, separated by a comma")
 	s.Text(&c.Seeds, "seeds", "", "IP:port of control processes, separated by commas")
@@ -261,7 +265,8 @@
 	}
 	s, err := server.Open(server.Config{
 		ID: identity.Member, Name: c.Name, Listener: internalListener, Advertise: address, FailureDomain: c.FailureDomain, Secret: c.Fleet,
-		Joining: &member.JoinConfig{Addresses: seeds, Founders: founders}, Voters: 2*c.ToleratedLosses + 1,
+		FailureDomains: slices.Sorted(maps.Keys(c.FailureDomains)),
+		Joining:        &member.JoinConfig{Addresses: seeds, Founders: founders}, Voters: 2*c.ToleratedLosses + 1,
 		UpstreamTTL: maxMissedAnnouncements * c.AnnounceEvery, SnapshotEntries: snapshotEntries, Storage: storage, Stored: stored, Events: events,
 	})
 	if err != nil {
--- a/control/fleet/leases.go
+++ b/control/fleet/leases.go
@@ -42,6 +42,8 @@
 type sessionLease struct {
 	lastRenewal    time.Time
 	configRevision uint64
+	// running counts the session's requests in evacuated failure domains.
+	running []*fleetpb.DomainUse
 	// ending is set while a proposal to end the session is pending.
 	ending bool
 }
@@ -114,6 +116,30 @@
 	return 0
 }
 
+// recordRunning records the requests of a session in evacuated failure domains.
+func (l *leases) recordRunning(id uint64, running []*fleetpb.DomainUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lease := l.sessions[id]; lease != nil {
+		lease.running = running
+	}
+}
+
+// runningIn returns the requests of all sessions in an evacuated failure domain.
+func (l *leases) runningIn(domain string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0
+	for _, lease := range l.sessions {
+		for _, use := range lease.running {
+			if use.FailureDomain == domain {
+				sum += int(use.Requests)
+			}
+		}
+	}
+	return sum
+}
+
 func (l *leases) renewOrderLease(term uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/control/fleet/service.go
+++ b/control/fleet/service.go
@@ -110,6 +110,7 @@
 			return &fleetpb.KeepaliveResponse{SessionEnded: true}, nil
 		}
 		s.leases.renewUpstreams(term, request.Alive, arrived)
+		s.leases.recordRunning(request.SessionId, request.Running)
 	}
 	if _, err := s.group.ReadIndex(ctx); err != nil {
 		return nil, member.RPCError(err)
@@ -194,6 +195,32 @@
 	return &fleetpb.FindUpstreamResponse{Upstream: s.state.Upstream(request.Id)}, nil
 }
 
+// FindEvacuation implements fleetpb.FleetServer. It confirms that this member leads after the call has arrived.
+func (s *Service) FindEvacuation(ctx context.Context, request *fleetpb.FindEvacuationRequest) (*fleetpb.FindEvacuationResponse, error) {
+	if _, err := s.group.ReadIndex(ctx); err != nil {
+		return nil, member.RPCError(err)
+	}
+	return &fleetpb.FindEvacuationResponse{
+		Evacuation: s.state.Evacuation(request.FailureDomain), Known: s.state.KnowsFailureDomain(request.FailureDomain),
+	}, nil
+}
+
+// SetEvacuation implements fleetpb.FleetServer.
+func (s *Service) SetEvacuation(ctx context.Context, request *fleetpb.SetEvacuationRequest) (*fleetpb.SetEvacuationResponse, error) {
+	if _, err := s.leaderTerm(); err != nil {
+		return nil, err
+	}
+	result, err := s.propose(ctx, &fleetpb.Command{Body: &fleetpb.Command_SetEvacuation{SetEvacuation: request}})
+	if err != nil {
+		return nil, err
+	}
+	s.events.Write(event.ControlEvacuationOrdered, func(e *log.Entry) {
+		e.Str("failureDomain", request.FailureDomain).Bool("withdraw", request.Withdraw).Str("operator", request.Operator).
+			Uint64("expected", request.ExpectVersion).Uint64("version", result.Evacuation.GetVersion()).Str("result", result.Code.String())
+	})
+	return &fleetpb.SetEvacuationResponse{Code: result.Code}, nil
+}
+
 // Claim implements fleetpb.FleetServer.
 func (s *Service) Claim(ctx context.Context, request *fleetpb.ClaimRequest) (*fleetpb.ClaimResponse, error) {
 	if _, err := s.leaderTerm(); err != nil {
@@ -275,3 +302,7 @@
 // ConfigRevision returns the highest configuration revision that a session reported in keepalives to this leader, or 0
 // if this leader received no keepalive of the session.
 func (s *Service) ConfigRevision(session uint64) uint64 { return s.leases.configRevision(session) }
+
+// RunningIn returns how many requests the entries run on the upstreams of an evacuated failure domain, as they last reported to this
+// leader.
+func (s *Service) RunningIn(domain string) int { return s.leases.runningIn(domain) }
--- a/control/fleet/watch.go
+++ b/control/fleet/watch.go
@@ -83,5 +83,5 @@
 
 func isEmpty(e *fleetpb.WatchEvent) bool {
 	return !e.Reset_ && len(e.Objects)+len(e.DeletedObjects)+len(e.Sessions)+len(e.EndedSessions)+
-		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil && e.Document == nil
+		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil && e.Document == nil && len(e.Evacuations) == 0
 }
--- a/control/member/propose.go
+++ b/control/member/propose.go
@@ -22,6 +22,8 @@
 	ErrNotApplied = errors.New("the command was replaced by another leader's")
 	// ErrStopped is returned if the member is stopping.
 	ErrStopped = errors.New("the member is stopping")
+	// ErrOlderMember is returned if a member could not apply the command, because it runs an older build.
+	ErrOlderMember = errors.New("a member of the group runs a build that does not know the command")
 )
 
 // NotLeaderError is returned by a member that is not the leader. Nothing has been proposed.
@@ -86,12 +88,36 @@
 	return &NotLeaderError{Leader: findMember(s.Membership, s.Leader)}
 }
 
+const (
+	// levelEvacuations is the first command level with SetEvacuation.
+	levelEvacuations = 1
+	// commandLevel is the level of the commands that this build can apply. A member that skipped a command would differ from the
+	// others for good.
+	commandLevel = levelEvacuations
+)
+
+// checkCommandLevel returns ErrOlderMember if a member, as last heard of, is too old for a command.
+func (m *Member) checkCommandLevel(command *fleetpb.Command) error {
+	if _, ok := command.Body.(*fleetpb.Command_SetEvacuation); !ok {
+		return nil
+	}
+	for _, other := range m.Status().Membership.GetMembers() {
+		if info, _ := m.Peer(other.Id); info != nil && info.CommandLevel < levelEvacuations {
+			return ErrOlderMember
+		}
+	}
+	return nil
+}
+
 // ProposeLocal proposes a command on the leader and returns the result of applying the command. Members other than the
 // leader return a *NotLeaderError. The time of the proposed command is set to the time of this member.
 func (m *Member) ProposeLocal(ctx context.Context, command *fleetpb.Command) (*fleetpb.Result, error) {
 	if current := m.Status(); !current.Leading {
 		return nil, &NotLeaderError{Leader: current.LeaderMember()}
 	}
+	if err := m.checkCommandLevel(command); err != nil {
+		return nil, err
+	}
 	stamped := &fleetpb.Command{TimeMillis: m.now().UnixMilli(), Body: command.Body}
 	data, err := proto.Marshal(stamped)
 	if err != nil {
@@ -153,7 +179,7 @@
 func isIdempotent(command *fleetpb.Command) bool {
 	switch command.Body.(type) {
 	case *fleetpb.Command_ApplyConfig, *fleetpb.Command_SetDesired, *fleetpb.Command_RemoveUpstream,
-		*fleetpb.Command_PutDocument:
+		*fleetpb.Command_PutDocument, *fleetpb.Command_SetEvacuation:
 		return true
 	}
 	return false
--- a/control/member/server.go
+++ b/control/member/server.go
@@ -98,7 +98,7 @@
 	current := s.Member.Status()
 	return &fleetpb.InfoResponse{
 		Id: current.ID, Term: current.Term, Leader: current.Leader, Applied: current.Applied, Committed: current.Commit,
-		FirstIndex: current.First, LastIndex: current.Last, Membership: current.Membership,
+		FirstIndex: current.First, LastIndex: current.Last, Membership: current.Membership, CommandLevel: commandLevel,
 	}, nil
 }
 
--- a/control/server/port.go
+++ b/control/server/port.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -66,6 +67,42 @@
 	return s.announce(ctx, &fleetpb.AnnounceUpstreamRequest{Upstream: &fleetpb.Upstream{Id: id, Incarnation: incarnation}, Withdraw: true})
 }
 
+// ErrSuperseded means that another order on the failure domain came first.
+var ErrSuperseded = errors.New("another order on the failure domain came first")
+
+// Evacuation returns the newest order on a failure domain when the call arrives, or nil if there was none, and whether the failure
+// domain is known: it is one of Config.FailureDomains or, without these, an upstream or an entry is in it.
+func (s *Server) Evacuation(ctx context.Context, domain string) (evacuation *fleetpb.Evacuation, known bool, err error) {
+	request := &fleetpb.FindEvacuationRequest{FailureDomain: domain}
+	var response *fleetpb.FindEvacuationResponse
+	if err := s.callLeader(ctx, func(ctx context.Context, leader leaderCalls) (err error) {
+		response, err = leader.FindEvacuation(ctx, request)
+		return err
+	}); err != nil {
+		return nil, false, eris.Wrapf(err, "find the evacuation of failure domain %q", domain)
+	}
+	known = response.Known
+	if len(s.config.FailureDomains) > 0 {
+		known = slices.Contains(s.config.FailureDomains, domain)
+	}
+	return response.Evacuation, known, nil
+}
+
+// SetEvacuation stores an order on a failure domain. It returns ErrSuperseded if the order follows another one than it names.
+func (s *Server) SetEvacuation(ctx context.Context, request *fleetpb.SetEvacuationRequest) error {
+	var response *fleetpb.SetEvacuationResponse
+	if err := s.callLeader(ctx, func(ctx context.Context, leader leaderCalls) (err error) {
+		response, err = leader.SetEvacuation(ctx, request)
+		return err
+	}); err != nil {
+		return eris.Wrapf(err, "store the evacuation of failure domain %q", request.FailureDomain)
+	}
+	if response.Code != fleetpb.ResultCode_RESULT_CODE_OK {
+		return ErrSuperseded
+	}
+	return nil
+}
+
 func (s *Server) announce(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) error {
 	var response *fleetpb.AnnounceUpstreamResponse
 	err := s.callLeader(ctx, func(ctx context.Context, leader leaderCalls) (err error) {
@@ -83,10 +120,12 @@
 	return nil
 }
 
-// leaderCalls are the calls that members make for upstreams. The leader carries them out itself.
+// leaderCalls are the calls that members make for upstreams and operators. The leader carries them out itself.
 type leaderCalls interface {
 	AnnounceUpstream(ctx context.Context, request *fleetpb.AnnounceUpstreamRequest) (*fleetpb.AnnounceUpstreamResponse, error)
 	FindUpstream(ctx context.Context, request *fleetpb.FindUpstreamRequest) (*fleetpb.FindUpstreamResponse, error)
+	FindEvacuation(ctx context.Context, request *fleetpb.FindEvacuationRequest) (*fleetpb.FindEvacuationResponse, error)
+	SetEvacuation(ctx context.Context, request *fleetpb.SetEvacuationRequest) (*fleetpb.SetEvacuationResponse, error)
 }
 
 // remoteLeader makes the calls over a connection.
@@ -102,6 +141,16 @@
 	return l.client.FindUpstream(ctx, request)
 }
 
+// FindEvacuation implements leaderCalls.
+func (l remoteLeader) FindEvacuation(ctx context.Context, request *fleetpb.FindEvacuationRequest) (*fleetpb.FindEvacuationResponse, error) {
+	return l.client.FindEvacuation(ctx, request)
+}
+
+// SetEvacuation implements leaderCalls.
+func (l remoteLeader) SetEvacuation(ctx context.Context, request *fleetpb.SetEvacuationRequest) (*fleetpb.SetEvacuationResponse, error) {
+	return l.client.SetEvacuation(ctx, request)
+}
+
 // callLeader makes an idempotent call to the leader, and retries it until ctx is cancelled or the leader refuses it for good.
 func (s *Server) callLeader(ctx context.Context, call func(ctx context.Context, leader leaderCalls) error) error {
 	for {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -43,8 +43,10 @@
 	// the address of AdminListener.
 	Advertise, AdminAdvertise string
 	FailureDomain             string
-	Secret                    string
-	Tokens                    *admin.Tokens
+	// FailureDomains are the failure domains that operators may evacuate; empty for those of the known upstreams and entries.
+	FailureDomains []string
+	Secret         string
+	Tokens         *admin.Tokens
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
 	// Joining lets the member form or join its group without an operator; if nil, operators form the group.
@@ -91,7 +93,7 @@
 	s.fleet = fleet.New(fleet.Config{Group: m, State: machine, Events: config.Events, UpstreamTTL: config.UpstreamTTL})
 	if config.AdminListener != nil {
 		s.admin = admin.New(admin.Config{
-			Source: listenerIP(config.AdminListener), Group: m, State: machine, Revisions: s.fleet,
+			Source: listenerIP(config.AdminListener), Group: m, State: machine, Revisions: s.fleet, Running: s.fleet,
 			Tokens: config.Tokens, Events: config.Events,
 		})
 	}
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -46,6 +46,8 @@
 	orderLease   *fleetpb.OrderLease
 	// document is the configuration document, nil if none is stored.
 	document *fleetpb.Document
+	// evacuations holds the newest order on each failure domain that was ever evacuated.
+	evacuations map[string]*fleetpb.Evacuation
 
 	claims map[claimKey]*fleetpb.ClaimRecord
 	// claimsBySession holds the keys of the claims in progress, by session ID.
@@ -78,6 +80,7 @@
 	m.upstreams = map[string]*fleetpb.Upstream{}
 	m.orderLease = &fleetpb.OrderLease{}
 	m.document = nil
+	m.evacuations = map[string]*fleetpb.Evacuation{}
 	m.claims = map[claimKey]*fleetpb.ClaimRecord{}
 	m.claimsBySession = map[uint64]map[claimKey]bool{}
 	m.expiries = nil
@@ -148,6 +151,12 @@
 		return m.acquireOrderLease(body.AcquireOrderLease)
 	case *fleetpb.Command_PutDocument:
 		return m.putDocument(body.PutDocument)
+	case *fleetpb.Command_SetEvacuation:
+		c := body.SetEvacuation
+		if c.RequestId == "" {
+			return m.setEvacuation(c)
+		}
+		return m.runOnce(c.RequestId, c, func() *fleetpb.Result { return m.setEvacuation(c) })
 	}
 	return failure(fleetpb.ResultCode_RESULT_CODE_INVALID, "the command is empty or of an unknown kind")
 }
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -27,7 +27,7 @@
 		Objects:  slices.Collect(maps.Values(m.objects)),
 		Sessions: sortedValues(m.sessions), Upstreams: sortedValues(m.upstreams),
 		Claims: slices.Collect(maps.Values(m.claims)), History: slices.Clone(m.history), OrderLease: m.orderLease,
-		FirstSession: m.firstSession, Document: m.document,
+		FirstSession: m.firstSession, Document: m.document, Evacuations: sortedValues(m.evacuations),
 	}
 	for _, id := range m.requestOrder {
 		s.Requests = append(s.Requests, m.requests[id])
@@ -100,6 +100,9 @@
 	if s.OrderLease != nil {
 		m.orderLease = s.OrderLease
 	}
+	for _, e := range s.Evacuations {
+		m.evacuations[e.FailureDomain] = e
+	}
 	for _, request := range s.Requests {
 		m.requests[request.RequestId] = request
 		m.requestOrder = append(m.requestOrder, request.RequestId)
--- a/control/state/upstream.go
+++ b/control/state/upstream.go
@@ -138,7 +138,7 @@
 func sameAnnouncement(a, b *fleetpb.Upstream) bool {
 	return a.Address == b.Address && a.Kind == b.Kind && a.Role == b.Role && a.Pool == b.Pool &&
 		slices.Equal(a.Models, b.Models) && a.FailureDomain == b.FailureDomain && a.Slots == b.Slots &&
-		a.ChecksFencing == b.ChecksFencing && a.State == b.State
+		a.ChecksFencing == b.ChecksFencing && a.State == b.State && a.ColdMillis == b.ColdMillis
 }
 
 func (m *Machine) putUpstream(u *fleetpb.Upstream) {
--- a/control/state/watch.go
+++ b/control/state/watch.go
@@ -21,9 +21,10 @@
 	changedUpstream
 	changedLease
 	changedDocument
+	changedEvacuation
 )
 
-// changeKey identifies a changed value. For an upstream, the name in object is the ID of the upstream.
+// changeKey identifies a changed value. The name in object is the ID of an upstream, or the failure domain of an evacuation.
 type changeKey struct {
 	kind    changeKind
 	object  objectKey
@@ -75,7 +76,7 @@
 	if index > m.applied {
 		return nil
 	}
-	event := &fleetpb.WatchEvent{Index: m.applied, Revision: m.revision}
+	event := &fleetpb.WatchEvent{Index: m.applied, Revision: m.revision, TimeMillis: m.timeMillis}
 	if index == 0 || index < m.recentChanges.lastDropped {
 		event.Reset_ = true
 		event.Objects = slices.Collect(maps.Values(m.objects))
@@ -83,6 +84,7 @@
 		event.Upstreams = slices.Collect(maps.Values(m.upstreams))
 		event.OrderLease = m.orderLease
 		event.Document = m.document
+		event.Evacuations = slices.Collect(maps.Values(m.evacuations))
 		return event
 	}
 	seen := map[changeKey]bool{}
@@ -119,6 +121,8 @@
 		event.OrderLease = m.orderLease
 	case changedDocument:
 		event.Document = m.document
+	case changedEvacuation:
+		event.Evacuations = append(event.Evacuations, m.evacuations[key.object.name])
 	}
 }
 
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -49,6 +49,8 @@
 	MaxAttempts int
 	// Open is set for routes that need no key.
 	Open bool
+	// Regions are the regions whose upstreams may run the route's requests; empty for all.
+	Regions []string
 	// Generation is set by Index for routes to model engines.
 	Generation bool
 }
@@ -65,6 +67,10 @@
 	Name string
 	// MaxConnections bounds the total connections of all entries to one upstream; 0 means no bound.
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after its start. ColdRate is the number of requests per second that a cold upstream
+	// bears from the whole fleet; 0 for upstreams that bear any.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -95,6 +101,29 @@
 	Limit config.Limit
 	// RequestTokens is the charge of a request without a token count.
 	RequestTokens int64
+	// Regions are the regions whose upstreams may run the customer's requests; empty for all.
+	Regions []string
+}
+
+// AllowedRegions returns the regions whose upstreams may run a request, nil for all. Where the route and the customer both have
+// regions, both bind, so that the result may be empty but not nil. The customer may be nil.
+func AllowedRegions(r *Route, c *Customer) []string {
+	if c == nil || len(c.Regions) == 0 {
+		if len(r.Regions) == 0 {
+			return nil
+		}
+		return r.Regions
+	}
+	if len(r.Regions) == 0 {
+		return c.Regions
+	}
+	common := []string{}
+	for _, region := range r.Regions {
+		if slices.Contains(c.Regions, region) {
+			common = append(common, region)
+		}
+	}
+	return common
 }
 
 // Bounds limits the size and timing of requests and connections of callers. A zero field means no bound.
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +111,24 @@
 		t.Error("want only services with a positive weight allowed")
 	}
 }
+
+// TestAllowedRegions guards against a request that runs in a region which only one of its route and its customer allows.
+func TestAllowedRegions(t *testing.T) {
+	for name, test := range map[string]struct {
+		route, customer, want []string
+	}{
+		"neither":            {nil, nil, nil},
+		"the route":          {[]string{"a"}, nil, []string{"a"}},
+		"the customer":       {nil, []string{"b"}, []string{"b"}},
+		"both":               {[]string{"a", "b"}, []string{"b", "c"}, []string{"b"}},
+		"both, none in both": {[]string{"a"}, []string{"b"}, []string{}},
+	} {
+		got := AllowedRegions(&Route{Regions: test.route}, &Customer{Regions: test.customer})
+		if !slices.Equal(got, test.want) || (got == nil) != (test.want == nil) {
+			t.Errorf("%s: got %#v, want %#v", name, got, test.want)
+		}
+	}
+	if got := AllowedRegions(&Route{Regions: []string{"a"}}, nil); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("without a customer: got %v, want [a]", got)
+	}
+}
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -44,6 +44,7 @@
 	ControlSettingsReloaded
 	ControlCallAbandoned
 	ControlHeartbeatStale
+	ControlEvacuationOrdered
 )
 
 var controlEvents = map[ID]Description{
@@ -81,4 +82,5 @@
 	ControlSettingsReloaded:         {log.InfoLevel, "settings reloaded"},
 	ControlCallAbandoned:            {log.InfoLevel, "a call had no effect because its caller had left"},
 	ControlHeartbeatStale:           {log.InfoLevel, "an upstream's heartbeat changed nothing because a newer one is known"},
+	ControlEvacuationOrdered:        {log.InfoLevel, "an operator evacuated a failure domain or withdrew its evacuation"},
 }
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -33,6 +33,7 @@
 	PartQuarantined
 	PartReleased
 	LimitsConfirmed
+	EvacuationApplied
 )
 
 var entryEvents = map[ID]Description{
@@ -65,4 +66,5 @@
 	PartQuarantined:     {log.WarnLevel, "requests with a part of prompts are refused, because engines crashed on it"},
 	PartReleased:        {log.InfoLevel, "requests with a part of prompts are no longer refused"},
 	LimitsConfirmed:     {log.InfoLevel, "a coordinator confirms what is left of customers' limits, or none does any more"},
+	EvacuationApplied:   {log.InfoLevel, "this entry knows an order on a failure domain's evacuation"},
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -223,6 +223,24 @@
 	s.StringVar(target, name, value, usage)
 }
 
+// Pairs adds a setting for a comma-separated list of pairs of the form key=value, none of which is empty.
+func (s *Set) Pairs(target *map[string]string, name, usage string) {
+	s.Var(&checkedValue{set: func(text string) error {
+		pairs := map[string]string{}
+		for pair := range strings.SplitSeq(text, ",") {
+			key, value, _ := strings.Cut(pair, "=")
+			if text != "" && (key == "" || value == "") {
+				return errors.New("want pairs of the form key=value, separated by commas")
+			}
+			if key != "" {
+				pairs[key] = value
+			}
+		}
+		*target = pairs
+		return nil
+	}}, name, usage)
+}
+
 // Secret reads a secret from a file and removes surrounding white space.
 func Secret(setting, path string) (string, error) {
 	data, err := os.ReadFile(path)
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -50,6 +50,7 @@
 	after, limit          int
 	address, adminAddress string
 	failureDomain         string
+	withdraw              bool
 }
 
 // command describes a command of azuredoorctl.
@@ -77,6 +78,7 @@
 	{[]string{"upstream", "start"}, "id", "send work to an upstream", 1, 1, nil, setDesiredState("active")},
 	{[]string{"upstream", "stop"}, "id", "send no work to an upstream and end its running work", 1, 1, nil, setDesiredState("stopped")},
 	{[]string{"upstream", "remove"}, "id", "forget an upstream", 1, 1, nil, (*invocation).upstreamRemove},
+	{[]string{"evacuate"}, "[-withdraw] [domain]", "send nothing new to the upstreams of a failure domain, or show the evacuations in force", 0, 1, []string{"withdraw", "json"}, (*invocation).evacuate},
 	{[]string{"member", "list"}, "", "show control members", 0, 0, []string{"json"}, (*invocation).memberList},
 	{[]string{"member", "add"}, "-name N -address A -admin-address A -failure-domain F", "add a control member", 0, 0, memberFlags, (*invocation).memberAdd},
 	{[]string{"member", "remove"}, "id", "remove a control member", 1, 1, nil, (*invocation).memberRemove},
@@ -144,6 +146,7 @@
 	set.Text(&inv.tokenFile, "token-file", "", "file with the operator token")
 	set.Period(&inv.timeout, "timeout", defaultTimeout, minTimeout, maxTimeout, "longest time for one command")
 	set.BoolVar(&inv.json, "json", false, "print JSON")
+	set.BoolVar(&inv.withdraw, "withdraw", false, "withdraw the evacuation")
 	set.Text(&inv.file, "file", "", "document to apply")
 	set.Text(&inv.customer, "customer", "", "customer of the key")
 	set.Text(&inv.name, "name", "", "name of the key or member")
--- a/ctl/command/fleet.go
+++ b/ctl/command/fleet.go
@@ -43,6 +43,26 @@
 	return inv.printf("upstream %s removed\n", inv.args[0])
 }
 
+var evacuationColumns = []string{"failureDomain", "operator", "since", "upstreams", "running"}
+
+// evacuate orders or withdraws an evacuation, or lists those in force if no failure domain is named.
+func (inv *invocation) evacuate(ctx context.Context) error {
+	if len(inv.args) == 0 {
+		if inv.withdraw {
+			return usagef("want: azuredoorctl evacuate -withdraw domain")
+		}
+		return inv.printList(ctx, "/v1/evacuations", "evacuations", evacuationColumns)
+	}
+	method, text := http.MethodPost, "evacuated"
+	if inv.withdraw {
+		method, text = http.MethodDelete, "evacuation withdrawn"
+	}
+	if err := inv.client.Write(ctx, method, "/v1/evacuations/"+url.PathEscape(inv.args[0]), nil, nil); err != nil {
+		return err
+	}
+	return inv.printf("failure domain %s: %s\n", inv.args[0], text)
+}
+
 func (inv *invocation) memberList(ctx context.Context) error {
 	return inv.printList(ctx, "/v1/members", "members",
 		[]string{"id", "name", "address", "adminAddress", "failureDomain", "learner", "leader", "reachable"})
@@ -162,6 +182,14 @@
 	if err := inv.printTable(tableRows(response["upstreams"], []string{"pool", "failureDomain", "state", "count"})); err != nil {
 		return err
 	}
+	if evacuations, _ := response["evacuations"].([]any); len(evacuations) > 0 {
+		if err := inv.printf("\nEvacuations\n"); err != nil {
+			return err
+		}
+		if err := inv.printTable(tableRows(evacuations, evacuationColumns)); err != nil {
+			return err
+		}
+	}
 	return inv.printEntries(ctx, response["confirmed"] != false)
 }
 
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -24,6 +24,10 @@
 	// PeerAddress is where other entries reach this one, host:port.
 	PeerAddress           string
 	FailureDomain, Region string
+	// Regions maps failure domains to regions, as far as they are known. SetRegions replaces it.
+	Regions map[string]string
+	// Running returns how many requests of this entry still run in each evacuated failure domain; nil if that is not known.
+	Running func() map[string]int
 	// Members are the initial gRPC addresses of control members, at least one. Each keepalive response updates them.
 	Members []string
 	// Reseed, if set, returns addresses to try after no known member has responded within the timeout of a call.
@@ -55,6 +59,8 @@
 	sessionID atomic.Uint64
 	// sessionExpiresAt is the end of the session's lease, as time since boot.
 	sessionExpiresAt atomic.Int64
+	// regions holds the regions of failure domains for the next view.
+	regions atomic.Pointer[map[string]string]
 	// firstSession is set if no session was ever opened before the current one.
 	firstSession atomic.Bool
 
@@ -85,9 +91,13 @@
 		Config: config.NewSet(), Sessions: map[uint64]*fleetpb.Session{}, Upstreams: map[string]*fleetpb.Upstream{},
 	})
 	client.freshAt.Store(int64(-time.Hour))
+	client.SetRegions(c.Regions)
 	return client
 }
 
+// SetRegions replaces the regions of failure domains. They take effect with the next change of the view.
+func (c *Client) SetRegions(regions map[string]string) { c.regions.Store(&regions) }
+
 // OnChange registers a function that is called, in order, with each view that differs from the last one in more than
 // its index. The function must not block. OnChange must be called before Run.
 func (c *Client) OnChange(f func(*View)) { c.changeHandlers = append(c.changeHandlers, f) }
@@ -203,6 +213,11 @@
 	defer cancel()
 	heartbeats := c.takeHeartbeats()
 	request := &fleetpb.KeepaliveRequest{SessionId: c.sessionID.Load(), ConfigRevision: c.View().Revision, Alive: heartbeats}
+	if c.config.Running != nil {
+		for domain, n := range c.config.Running() {
+			request.Running = append(request.Running, &fleetpb.DomainUse{FailureDomain: domain, Requests: uint32(n)})
+		}
+	}
 	var sentAt time.Duration
 	var response *fleetpb.KeepaliveResponse
 	err := c.members.call(ctx, func(ctx context.Context, client fleetpb.FleetClient) (err error) {
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -3,7 +3,11 @@
 package control
 
 import (
+	"maps"
 	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"azuredoor.example/core/config"
 	"azuredoor.example/core/document"
@@ -15,14 +19,23 @@
 	// Index is the index of the last log entry that the view reflects.
 	Index uint64
 	// Revision is the configuration revision.
-	Revision  uint64
-	Config    *config.Set
-	Sessions  map[uint64]*fleetpb.Session
+	Revision uint64
+	Config   *config.Set
+	Sessions map[uint64]*fleetpb.Session
+	// Upstreams holds the upstreams as they may be used: those of an evacuated failure domain leave.
 	Upstreams map[string]*fleetpb.Upstream
 	// OrderLease is nil while no session holds the lease.
 	OrderLease *fleetpb.OrderLease
 	// Document is the operators' document, or nil if there is none.
 	Document *document.Document
+	// Evacuations holds the newest order on each failure domain that was ever evacuated.
+	Evacuations map[string]*fleetpb.Evacuation
+	// Regions maps failure domains to regions, as far as the settings name them.
+	Regions map[string]string
+	// announced holds the upstreams as they announced themselves.
+	announced map[string]*fleetpb.Upstream
+	// coldUntil holds, by ID, when upstreams that may be cold are warm at the latest.
+	coldUntil map[string]time.Time
 }
 
 // Limit returns the limit of a bucket and reports whether the bucket is limited. A bucket's name is CUSTOMER or
@@ -41,7 +54,75 @@
 	return l, name == bucket && l.BurstTokens > 0
 }
 
-// AcceptsRequests reports whether an upstream may receive new requests.
+// Evacuated reports whether the upstreams of a failure domain must get nothing new.
+func (v *View) Evacuated(domain string) bool {
+	e := v.Evacuations[domain]
+	return e != nil && !e.Withdrawn
+}
+
+// AcceptsRequests reports whether an upstream of a view may receive new requests.
 func AcceptsRequests(u *fleetpb.Upstream) bool {
 	return u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE && u.Desired == fleetpb.DesiredState_DESIRED_STATE_ACTIVE
 }
+
+// applyEvacuations sets Upstreams from the announced ones: those of an evacuated failure domain finish what they run, as if they had
+// announced that they leave.
+func (v *View) applyEvacuations() {
+	v.Upstreams = v.announced
+	evacuating := false
+	for _, e := range v.Evacuations {
+		evacuating = evacuating || !e.Withdrawn
+	}
+	if !evacuating {
+		return
+	}
+	v.Upstreams = make(map[string]*fleetpb.Upstream, len(v.announced))
+	for id, u := range v.announced {
+		if v.Evacuated(u.FailureDomain) && u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE {
+			u = proto.CloneOf(u)
+			u.State = fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING
+		}
+		v.Upstreams[id] = u
+	}
+}
+
+// ColdUntil returns when an upstream is warm at the latest; the zero time for one that is not known to be cold.
+func (v *View) ColdUntil(id string) time.Time { return v.coldUntil[id] }
+
+// observeCold updates when upstreams are warm, from an event that was applied to the view. An upstream is cold for as long as it
+// last announced, counted from the arrival of the event. After the withdrawal of an evacuation, the upstreams of the failure domain may
+// have become cold shortly before, so that they count as cold for as long as after a start.
+func (v *View) observeCold(now time.Time, e *fleetpb.WatchEvent) {
+	next := maps.Clone(v.coldUntil)
+	if next == nil || e.Reset_ {
+		next = map[string]time.Time{}
+	}
+	for _, id := range e.RemovedUpstreams {
+		delete(next, id)
+	}
+	for id, until := range next {
+		if !now.Before(until) {
+			delete(next, id)
+		}
+	}
+	extend := func(id string, until time.Time) {
+		if now.Before(until) && until.After(next[id]) {
+			next[id] = until
+		}
+	}
+	for _, u := range e.Upstreams {
+		extend(u.Id, now.Add(time.Duration(u.ColdMillis)*time.Millisecond))
+	}
+	for _, evacuation := range e.Evacuations {
+		if !evacuation.Withdrawn || v.Document == nil {
+			continue
+		}
+		age := time.Duration(max(0, e.TimeMillis-evacuation.SinceMillis)) * time.Millisecond
+		for _, u := range v.Upstreams {
+			if s := v.Document.Services[u.Pool]; s != nil && u.FailureDomain == evacuation.FailureDomain && s.ColdRate > 0 {
+				extend(u.Id, now.Add(s.ColdStart-age))
+			}
+		}
+	}
+	v.coldUntil = next
+}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -103,12 +103,15 @@
 	next := *v
 	next.Index = e.Index
 	if !e.Reset_ && len(e.Objects)+len(e.DeletedObjects)+len(e.Sessions)+len(e.EndedSessions)+
-		len(e.Upstreams)+len(e.RemovedUpstreams) == 0 && e.OrderLease == nil && e.Document == nil {
+		len(e.Upstreams)+len(e.RemovedUpstreams)+len(e.Evacuations) == 0 && e.OrderLease == nil && e.Document == nil {
 		return &next, false, nil
 	}
 	if e.Reset_ {
 		next = View{Index: e.Index, Config: config.NewSet(), Document: v.Document}
 	}
+	if regions := c.regions.Load(); regions != nil {
+		next.Regions = *regions
+	}
 	next.Revision = max(e.Revision, next.Revision)
 	if e.OrderLease != nil {
 		next.OrderLease = e.OrderLease
@@ -126,13 +129,25 @@
 	for _, id := range e.EndedSessions {
 		delete(next.Sessions, id)
 	}
-	next.Upstreams = cloneOrNew(next.Upstreams)
+	next.announced = cloneOrNew(next.announced)
 	for _, u := range e.Upstreams {
-		next.Upstreams[u.Id] = u
+		next.announced[u.Id] = u
 	}
 	for _, id := range e.RemovedUpstreams {
-		delete(next.Upstreams, id)
+		delete(next.announced, id)
+	}
+	if len(e.Evacuations) > 0 {
+		next.Evacuations = cloneOrNew(next.Evacuations)
+	}
+	for _, evacuation := range e.Evacuations {
+		next.Evacuations[evacuation.FailureDomain] = evacuation
+		c.config.Events.Write(event.EvacuationApplied, func(l *log.Entry) {
+			l.Str("failureDomain", evacuation.FailureDomain).Bool("withdrawn", evacuation.Withdrawn).Uint64("version", evacuation.Version).
+				Str("operator", evacuation.Operator).Uint64("index", e.Index)
+		})
 	}
+	next.applyEvacuations()
+	next.observeCold(time.Now(), e)
 	return &next, true, nil
 }
 
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -43,13 +43,15 @@
 
 	control Control
 
-	mu       sync.Mutex
-	view     *control.View
-	meter    *limit.Meter
-	book     *place.Book
-	queue    *place.Queue
-	sums     *Sums
-	ledger   *quarantine.Ledger
+	mu     sync.Mutex
+	view   *control.View
+	meter  *limit.Meter
+	book   *place.Book
+	queue  *place.Queue
+	sums   *Sums
+	ledger *quarantine.Ledger
+	// cold counts the requests to cold upstreams of plain services; the book counts those to engines.
+	cold     *place.ColdLimiter
 	sweptAt  time.Time
 	resigned bool
 	// awake tells whether this process was stopped.
@@ -59,7 +61,7 @@
 // New returns a coordinator without reports.
 func New(c Control) *Coordinator {
 	book := place.NewBook()
-	return &Coordinator{control: c, meter: limit.NewMeter(), book: book, queue: place.NewQueue(book), sums: NewSums(), ledger: quarantine.NewLedger()}
+	return &Coordinator{control: c, meter: limit.NewMeter(), book: book, queue: place.NewQueue(book), sums: NewSums(), ledger: quarantine.NewLedger(), cold: place.NewColdLimiter()}
 }
 
 // Errors of Report and Place.
@@ -122,10 +124,15 @@
 		c.meter.Silence = Silence(len(sessions))
 		c.queue.Advance(now)
 	}
+	c.book.SetColdReady(mayCountCold(now, c.meter))
 	if now.Sub(c.sweptAt) >= sweepInterval {
 		c.sweptAt = now
 		ended := func(session uint64) bool { return c.view.Sessions[session] == nil }
 		c.sums.Sweep(now, Silence(len(c.view.Sessions)), ended)
+		c.cold.Forget(func(id string, incarnation uint64) bool {
+			u := c.view.Upstreams[id]
+			return u != nil && u.Incarnation == incarnation
+		})
 		for _, session := range c.book.Sessions() {
 			if ended(session) {
 				c.book.Drop(session)
@@ -135,6 +142,36 @@
 	return own, nil
 }
 
+// mayCountCold reports whether the coordinator with the meter may count requests to cold upstreams: none before it still does, and
+// what that one has counted has been sent.
+func mayCountCold(now time.Time, m *limit.Meter) bool {
+	return m.AuthorityAge(now) > m.AuthorityPeriod()+place.ColdHandover
+}
+
+// grantCold counts the requests that an entry wants to send to cold upstreams of plain services, and returns how many it may. The
+// caller must hold c.mu.
+func (c *Coordinator) grantCold(now time.Time, wanted []*fleetpb.ColdUse) []*fleetpb.ColdUse {
+	if len(wanted) == 0 || c.view.Document == nil || !mayCountCold(now, c.meter) {
+		return nil
+	}
+	var granted []*fleetpb.ColdUse
+	for _, w := range wanted {
+		u := c.view.Upstreams[w.Id]
+		if u == nil || u.Incarnation != w.Incarnation {
+			continue
+		}
+		s := c.view.Document.Services[u.Pool]
+		if s == nil || s.ColdRate <= 0 {
+			continue
+		}
+		upstream := &place.Upstream{ID: u.Id, Incarnation: u.Incarnation, ColdRate: s.ColdRate}
+		if n := c.cold.Share(now, upstream, int(w.Requests)); n > 0 {
+			granted = append(granted, &fleetpb.ColdUse{Id: w.Id, Incarnation: w.Incarnation, Requests: uint32(n)})
+		}
+	}
+	return granted
+}
+
 // Report implements fleetpb.PeerServer.
 func (c *Coordinator) Report(_ context.Context, report *fleetpb.UseReport) (*fleetpb.FleetUse, error) {
 	now := time.Now()
@@ -157,7 +194,7 @@
 	}
 	c.meter.Observe(now, report.SessionId, uses, c.view.Limit)
 	response := c.sums.Exchange(now, report)
-	response.SessionId = own
+	response.SessionId, response.ColdGranted = own, c.grantCold(now, report.ColdWanted)
 	response.Unconfirmed, response.Silent = !c.meter.Authoritative(now), uint32(c.meter.SilentPeers(now))
 	c.judgeParts(now, report, response)
 	for _, u := range c.meter.Report(now) {
@@ -234,7 +271,7 @@
 	w := &place.Waiting{
 		Need: place.GenerationNeed{
 			Session: r.SessionId, Service: r.Service, Generation: generation(r.Generation), FailureDomain: r.FailureDomain,
-			Exclude: r.Exclude, Full: r.Full, Target: milliseconds(r.TargetMillis),
+			Exclude: r.Exclude, Full: r.Full, Target: milliseconds(r.TargetMillis), Regions: regions(r), Repeatable: r.Repeatable,
 		},
 		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Late: r.Late, Done: make(chan place.Result, 1),
 	}
@@ -243,7 +280,7 @@
 		return nil, err
 	}
 	if done {
-		return placeResponse(result), nil
+		return placeResponse(result, 0), nil
 	}
 	defer c.cancel(w)
 	if err := waiting(); err != nil {
@@ -254,7 +291,7 @@
 	for {
 		select {
 		case result := <-w.Done:
-			return placeResponse(result), nil
+			return placeResponse(result, result.PlacedAt.Sub(now)), nil
 		case <-ticker.C:
 			c.advance()
 		case <-ctx.Done():
@@ -284,10 +321,20 @@
 func (c *Coordinator) advance() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queue.Advance(time.Now())
+	now := time.Now()
+	c.book.SetColdReady(mayCountCold(now, c.meter))
+	c.queue.Advance(now)
+}
+
+// regions returns the regions of a request, nil if it may run in all.
+func regions(r *fleetpb.PlaceRequest) []string {
+	if !r.Restricted {
+		return nil
+	}
+	return append([]string{}, r.Regions...)
 }
 
-func placeResponse(r place.Result) *fleetpb.PlaceResponse {
+func placeResponse(r place.Result, waited time.Duration) *fleetpb.PlaceResponse {
 	switch {
 	case errors.Is(r.Err, place.ErrNone):
 		return &fleetpb.PlaceResponse{Unknown: true}
@@ -296,6 +343,6 @@
 	}
 	return &fleetpb.PlaceResponse{
 		Upstream: r.Placement.Decode.ID, Incarnation: r.Placement.Decode.Incarnation, Prefill: r.Placement.Prefill.ID,
-		PrefillMillis: uint32(r.Placement.PrefillTime.Milliseconds()),
+		PrefillMillis: uint32(r.Placement.PrefillTime.Milliseconds()), ColdGranted: r.Placement.Cold, WaitedMillis: uint32(waited.Milliseconds()),
 	}
 }
--- a/entry/coordinator/upstreams.go
+++ b/entry/coordinator/upstreams.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"time"
+
+	"azuredoor.example/core/document"
 	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/place"
@@ -27,21 +30,31 @@
 		upstream := place.Upstream{
 			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
 			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && !u.WasLeaving, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
-			Capacity: int(u.Slots) * requestsPerSlot,
+			Capacity: int(u.Slots) * requestsPerSlot, Region: view.Regions[u.FailureDomain], Evacuated: view.Evacuated(u.FailureDomain),
 		}
 		if view.Document != nil {
-			if s := view.Document.Services[u.Pool]; s != nil && s.Engine != nil {
-				upstream.Capacity, upstream.Slots = s.Engine.CacheTokens, s.Engine.Slots
-				if upstream.Role == place.RolePrefill {
-					upstream.Capacity, upstream.Slots = 0, 0
-				}
-			}
+			describeService(&upstream, view.Document.Services[u.Pool], view.ColdUntil(u.Id))
 		}
 		upstreams = append(upstreams, upstream)
 	}
 	return upstreams
 }
 
+// describeService sets what the service of an upstream says of it. The service may be nil.
+func describeService(u *place.Upstream, s *document.Service, coldUntil time.Time) {
+	if s == nil {
+		return
+	}
+	u.ColdUntil, u.ColdRate, u.ColdStart = coldUntil, s.ColdRate, s.ColdStart
+	if s.Engine == nil {
+		return
+	}
+	u.Capacity, u.Slots = s.Engine.CacheTokens, s.Engine.Slots
+	if u.Role == place.RolePrefill {
+		u.Capacity, u.Slots = 0, 0
+	}
+}
+
 // withdrawn is the sequence number of an upstream that has withdrawn for good.
 const withdrawn = ^uint64(0)
 
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -37,6 +37,8 @@
 // WebConfig configures an entry that routes plain HTTP requests by the operators' configuration document.
 type WebConfig struct {
 	Name, IP, FailureDomain, Region string
+	// FailureDomains maps the failure domains of the fleet to their regions. Requests with allowed regions go nowhere else.
+	FailureDomains map[string]string
 	// Listen, ReadyListen and MetricsListen are the addresses, as IP:port, that the entry listens on for callers, readiness
 	// checks, and metrics scrapers.
 	Listen, ReadyListen, MetricsListen string
@@ -84,6 +86,7 @@
 	s.Text(&c.IP, "ip", "", "IP number of this VM")
 	s.Text(&c.FailureDomain, "failure-domain", "", "failure domain of this VM")
 	s.Text(&c.Region, "region", "", "region of this VM")
+	s.Pairs(&c.FailureDomains, "failure-domains", "failure domains of the fleet with their regions, as domain=region, separated by commas")
 	s.Address(&c.Listen, "listen", "", "IP:port that callers connect to")
 	s.Address(&c.ReadyListen, "ready-listen", "", "IP:port that the load balancer asks for readiness")
 	s.Address(&c.MetricsListen, "metrics-listen", "", "IP:port of the metrics page; empty for none")
@@ -168,12 +171,14 @@
 	upstreamIdleTimeout = 4 * time.Second
 	// upstreamKeepAliveTimeout replaces upstreamIdleTimeout for upstreams that state no keep-alive time.
 	upstreamKeepAliveTimeout = 500 * time.Millisecond
+	// upstreamReceiveBuffer bounds what the kernel holds of one upstream's bytes, in bytes. Within a region it lets 100 MB/s through.
+	upstreamReceiveBuffer = 256 << 10
 )
 
 // upstreamOptions configures the connections to upstreams.
 var upstreamOptions = conn.Options{
 	ConnectTimeout: upstreamConnectTimeout, AckTimeout: upstreamAckTimeout, WriteTimeout: upstreamAckTimeout,
-	IdleTimeout: upstreamIdleTimeout, KeepAliveTimeout: upstreamKeepAliveTimeout,
+	IdleTimeout: upstreamIdleTimeout, KeepAliveTimeout: upstreamKeepAliveTimeout, ReceiveBuffer: upstreamReceiveBuffer,
 }
 
 // webEntry holds the components of a running entry.
@@ -259,11 +264,11 @@
 	addresses := c.controlAddresses()
 	e.addresses.Store(&addresses)
 	dialer := fleetrpc.Dialer{Secret: c.Fleet, Source: c.IP}
-	freshnessBound := c.Revocation - revocationMargin
+	freshnessBound, evacuated := c.Revocation-revocationMargin, e.metrics.Gauge("evacuated_requests")
 	e.fleet = control.New(control.Config{
 		Name: c.Name, PeerAddress: net.JoinHostPort(c.IP, port), FailureDomain: c.FailureDomain, Region: c.Region,
 		Members: addresses, Reseed: func() []string { return *e.addresses.Load() }, Decode: c.Decode, Dialer: dialer,
-		Events: events, FreshnessBound: freshnessBound,
+		Events: events, FreshnessBound: freshnessBound, Regions: c.FailureDomains, Running: func() map[string]int { return e.runningEvacuated(evacuated.Update) },
 	})
 	e.coordinator = coordinator.New(e.fleet)
 	guard, quarantined := quarantine.NewGuard(), e.metrics.Gauge("quarantined_parts")
@@ -297,6 +302,16 @@
 	return e, nil
 }
 
+// runningEvacuated returns how many requests of this entry still run in each evacuated failure domain, and passes their sum to set.
+func (e *webEntry) runningEvacuated(set func(sum float64)) map[string]int {
+	running, sum := e.router.RunningEvacuated(), 0
+	for _, n := range running {
+		sum += n
+	}
+	set(float64(sum))
+	return running
+}
+
 // bounds returns the limits on requests of callers in the current document.
 func (e *webEntry) bounds() http1.Bounds {
 	d := e.fleet.View().Document
@@ -428,5 +443,6 @@
 		}
 		addresses := next.controlAddresses()
 		e.addresses.Store(&addresses)
+		e.fleet.SetRegions(next.FailureDomains)
 	})
 }
--- a/entry/place/book.go
+++ b/entry/place/book.go
@@ -29,6 +29,15 @@
 	Exclude, Full []string
 	// Target is the latency target to the first event.
 	Target time.Duration
+	// Regions are those whose engines may run the generation, nil for all.
+	Regions []string
+	// Repeatable is set if the generation may run more than once.
+	Repeatable bool
+}
+
+// allows reports whether the generation may run on an engine in the region.
+func (n *GenerationNeed) allows(region string) bool {
+	return n.Regions == nil || slices.Contains(n.Regions, region)
 }
 
 // Placement is the result of Book.Place.
@@ -38,6 +47,8 @@
 	Prefill Upstream
 	// PrefillTime is the expected time until the prompt is processed.
 	PrefillTime time.Duration
+	// Cold is set if an engine is cold, and the generation was counted there.
+	Cold bool
 }
 
 const (
@@ -69,6 +80,9 @@
 	// probeDuration is how long an engine that has failed gets nothing else after a probe. An engine that does not respond is
 	// noticed within it.
 	probeDuration = 2 * time.Second
+	// coldEnginePenalty is the cost of a cold decode engine, as a share of the engine's memory: it gets generations when the others
+	// are half full.
+	coldEnginePenalty = 0.5
 	// suspectPenalty makes an engine that an entry has ejected the last choice.
 	suspectPenalty = 10
 )
@@ -90,6 +104,9 @@
 	prefillDelay time.Duration
 	// tokenTime is the average time per output token, or 0 before the first observation.
 	tokenTime time.Duration
+	// cold counts the requests to cold engines. coldReady is set while nobody else counts any.
+	cold      *ColdLimiter
+	coldReady bool
 }
 
 type bookEngine struct {
@@ -111,7 +128,7 @@
 func (e *bookEngine) suspect(now time.Time) bool {
 	if e.probing && !now.Before(e.suspectedUntil) {
 		// The probe has not failed.
-		e.recovered()
+		e.recovered(now)
 	}
 	return now.Before(e.suspectedUntil)
 }
@@ -124,8 +141,14 @@
 	}
 }
 
-// recovered records that the engine has responded.
-func (e *bookEngine) recovered() { e.failures, e.probing, e.suspectedUntil = 0, false, time.Time{} }
+// recovered records that the engine has responded. One that had failed may have been dark or replaced, and have become cold, without an
+// announcement yet.
+func (e *bookEngine) recovered(now time.Time) {
+	if e.failures > 0 && e.ColdRate > 0 {
+		e.ColdUntil = later(e.ColdUntil, now.Add(e.ColdStart))
+	}
+	e.failures, e.probing, e.suspectedUntil = 0, false, time.Time{}
+}
 
 // usable reports whether the engine takes generations or prompts.
 func (e *bookEngine) usable(now time.Time) bool {
@@ -144,7 +167,24 @@
 
 // NewBook returns a book without engines.
 func NewBook() *Book {
-	return &Book{engines: map[string]*bookEngine{}, byOwner: map[uint64]map[uint64]*placed{}, prefillRate: initialPrefillRate}
+	return &Book{engines: map[string]*bookEngine{}, byOwner: map[uint64]map[uint64]*placed{}, prefillRate: initialPrefillRate, cold: NewColdLimiter()}
+}
+
+// SetColdReady sets whether the book may place generations on cold engines: whether no other one does.
+func (b *Book) SetColdReady(ready bool) { b.coldReady = ready }
+
+// mayUse reports whether that many requests may be sent to the engine now as far as its being cold is concerned.
+func (b *Book) mayUse(now time.Time, e *bookEngine, requests int) bool {
+	return !e.cold(now) || b.coldReady && b.cold.may(now, &e.Upstream, requests)
+}
+
+// countCold counts requests to the engine if it is cold, and reports whether it is.
+func (b *Book) countCold(now time.Time, e *bookEngine, requests int) bool {
+	if !e.cold(now) {
+		return false
+	}
+	b.cold.Take(now, &e.Upstream, requests)
+	return true
 }
 
 // Set replaces the engines. Capacity is the whole memory of a decode engine. Generations stay on an engine whose
@@ -160,12 +200,16 @@
 		if e.Role != u.Role {
 			e.changingAt = time.Time{}
 		}
+		u.ColdUntil = later(u.ColdUntil, e.ColdUntil)
 		e.Upstream = u
 		next[u.ID] = e
 		b.ids = append(b.ids, u.ID)
 	}
 	slices.Sort(b.ids)
 	b.engines = next
+	b.cold.Forget(func(id string, incarnation uint64) bool {
+		return next[id] != nil && next[id].Incarnation == incarnation
+	})
 	for _, own := range b.byOwner {
 		for id, g := range own {
 			if next[g.Upstream] != g.engine {
@@ -211,7 +255,7 @@
 			e.generations = append(e.generations, p)
 		}
 		if g.Output > p.Output {
-			e.recovered()
+			e.recovered(now)
 		}
 		if g.Output > p.Output && p.Output > 0 {
 			tokenTime := float64(now.Sub(p.outputAt)) / float64(g.Output-p.Output)
@@ -337,11 +381,11 @@
 	least, accepting := math.Inf(1), 0
 	for _, id := range b.ids {
 		e := b.engines[id]
-		if e.Service != need.Service || e.Role != RoleDecode || !e.usable(now) || excluded[e.ID] {
+		if e.Service != need.Service || e.Role != RoleDecode || !need.allows(e.Region) || !e.usable(now) || excluded[e.ID] {
 			continue
 		}
 		accepting++
-		if now.Before(e.fullUntil) || slices.Contains(need.Full, e.ID) || e.Slots > 0 && len(e.generations) >= e.Slots {
+		if !b.mayUse(now, e, decodeRequests) || now.Before(e.fullUntil) || slices.Contains(need.Full, e.ID) || e.Slots > 0 && len(e.generations) >= e.Slots {
 			continue
 		}
 		peak := b.peak(now, e, need.Generation)
@@ -360,7 +404,7 @@
 	}
 	idle := len(best.generations) == 0
 	b.add(now, best, need)
-	placement := Placement{Decode: best.Upstream}
+	placement := Placement{Decode: best.Upstream, Cold: b.countCold(now, best, decodeRequests)}
 	b.placePrefill(now, need, excluded, best, idle, &placement)
 	return placement, nil
 }
@@ -391,6 +435,13 @@
 	if !e.Announcing || e.suspect(now) {
 		cost += suspectPenalty
 	}
+	if e.cold(now) {
+		cost += coldEnginePenalty
+		if !need.Repeatable {
+			// What the engine crashes on can't run again.
+			cost += suspectPenalty
+		}
+	}
 	return cost
 }
 
@@ -404,7 +455,8 @@
 	var least time.Duration
 	for _, id := range b.ids {
 		e := b.engines[id]
-		if e.Service != need.Service || e.Role != RolePrefill || !e.usable(now) || !e.Announcing || e.suspect(now) || excluded[e.ID] {
+		if e.Service != need.Service || e.Role != RolePrefill || !need.allows(e.Region) || !e.usable(now) || !e.Announcing ||
+			e.suspect(now) || excluded[e.ID] || !b.mayUse(now, e, 1) {
 			continue
 		}
 		delay := max(0, e.busyUntil.Sub(now))
@@ -430,5 +482,6 @@
 	}
 	best.busyUntil = start.Add(took)
 	best.probe(now)
+	placement.Cold = b.countCold(now, best, 1) || placement.Cold
 	placement.Prefill, placement.PrefillTime = best.Upstream, f.Split
 }
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -31,8 +32,23 @@
 	Capacity int
 	// Slots bounds the requests of all entries running on the upstream; 0 means no bound.
 	Slots int
+	// Region is the region of the failure domain, empty if it is not known.
+	Region string
+	// Evacuated is set while operators want nothing new to be sent to the failure domain; Accepts is not set then.
+	Evacuated bool
+	// ColdUntil is when the upstream is warm at the latest. Until then, the fleet may send it ColdRate requests per second, and only
+	// requests that the coordinator has counted. A ColdRate of 0 means no bound.
+	ColdUntil time.Time
+	ColdRate  float64
+	// ColdStart is how long an upstream is cold after its start.
+	ColdStart time.Duration
+	// GrantedUntil is set in the result of a choice: until then, the request may be sent to the upstream although that is cold.
+	GrantedUntil time.Time
 }
 
+// cold reports whether the upstream may be cold.
+func (u *Upstream) cold(now time.Time) bool { return u.ColdRate > 0 && now.Before(u.ColdUntil) }
+
 // full reports whether a request of the given work would exceed the capacity or the slots of the upstream. A request
 // larger than the capacity fits on an upstream without other requests.
 func (s *state) full(work int) bool {
@@ -49,12 +65,27 @@
 	FailureDomain string
 	// Exclude lists the IDs of upstreams that were already tried.
 	Exclude []string
+	// Regions are those whose upstreams may run the request, nil for all.
+	Regions []string
+	// Repeatable is set if the request may run more than once.
+	Repeatable bool
+	// GrantedUntil is until when the coordinator lets the request be sent to cold upstreams that it has chosen.
+	GrantedUntil time.Time
+}
+
+// allows reports whether the request may run on an upstream in the region.
+func (n *Need) allows(region string) bool {
+	return n.Regions == nil || slices.Contains(n.Regions, region)
 }
 
-// Errors of Pick; it also returns a *PausedError.
+// Errors of Pick; it also returns a *PausedError. ErrEvacuated and ErrRegion are cases of ErrNone.
 var (
 	// ErrNone means that no upstream of the service accepts requests.
 	ErrNone = errors.New("no upstream of the service accepts requests")
+	// ErrEvacuated means that all upstreams of the service that the request may use are in evacuated failure domains.
+	ErrEvacuated = fmt.Errorf("%w: all failure domains with upstreams of the service are evacuated", ErrNone)
+	// ErrRegion means that the service has no upstream in the regions of the request.
+	ErrRegion = fmt.Errorf("%w: none is in a region where the request may run", ErrNone)
 	// ErrBusy means that all upstreams of the service are at their capacity.
 	ErrBusy = errors.New("all upstreams of the service are busy")
 )
@@ -121,6 +152,10 @@
 	// FullBackoff is how long an upstream that is full is skipped. An engine with ten concurrent generations of a few
 	// seconds each can start another one a few times per second.
 	FullBackoff = 100 * time.Millisecond
+	// coldPenalty makes a cold upstream the choice only if the others have much more to do: what it crashes on is lost.
+	coldPenalty = 4
+	// coldOncePenalty is added for a request that must not run again.
+	coldOncePenalty = 20
 	// notAnnouncingPenalty makes an upstream whose announcements have stopped the last choice.
 	notAnnouncingPenalty = 50
 )
@@ -245,6 +280,8 @@
 	// entries is the number of entries that send requests to the same upstreams, including this one.
 	entries  int
 	prefills prefillSpeed
+	// cold holds the requests that this entry may send to cold upstreams of plain services.
+	cold coldShare
 	// prefillRate is the observed rate of prefill engines, in prompt tokens per millisecond. prefillDelay is the time that a
 	// prefill takes beyond that.
 	prefillRate  float64
@@ -271,6 +308,7 @@
 		if s == nil || s.Incarnation != u.Incarnation || s.Address != u.Address {
 			s = &state{}
 		}
+		u.ColdUntil = later(u.ColdUntil, s.ColdUntil)
 		s.Upstream, s.restriction = u, t.restrictionOf(u)
 		next[u.ID] = s
 		t.ids = append(t.ids, u.ID)
@@ -287,18 +325,25 @@
 		return Upstream{}, err
 	}
 	t.start(s, need)
-	return s.Upstream, nil
+	u := s.Upstream
+	if u.cold(now) {
+		u.GrantedUntil = t.cold.use(u)
+	}
+	return u, nil
 }
 
 // Assign adds the work to the load of the given upstream, which another entry has chosen, and reports whether the upstream
 // is known and accepts requests. The caller must call End afterwards.
 func (t *Table) Assign(now time.Time, id string, incarnation uint64, need Need) (Upstream, bool) {
 	s := t.states[id]
-	if s == nil || incarnation != 0 && s.Incarnation != incarnation || s.Service != need.Service || s.Role != need.Role || s.leaving() || s.restricted(now) {
+	if s == nil || incarnation != 0 && s.Incarnation != incarnation || s.Service != need.Service || s.Role != need.Role ||
+		!need.allows(s.Region) || s.leaving() || s.restricted(now) || s.cold(now) && !now.Before(need.GrantedUntil) {
 		return Upstream{}, false
 	}
 	t.start(s, need)
-	return s.Upstream, true
+	u := s.Upstream
+	u.GrantedUntil = need.GrantedUntil
+	return u, true
 }
 
 func (t *Table) start(s *state, need Need) {
@@ -331,12 +376,12 @@
 		}
 		for i := range t.ids {
 			s := t.states[t.ids[(i+t.rotation)%len(t.ids)]]
-			if s.Service != need.Service || s.Role != need.Role || s.leaving() || s.restricted(now) ||
+			if s.Service != need.Service || s.Role != need.Role || !need.allows(s.Region) || s.leaving() || s.restricted(now) ||
 				slices.Contains(need.Exclude, s.ID) || s.tier(now) != tier {
 				continue
 			}
 			accepting++
-			if s.full(need.Work) || now.Before(s.fullUntil) {
+			if s.full(need.Work) || now.Before(s.fullUntil) || s.cold(now) && !t.cold.may(now, s.Upstream) {
 				continue
 			}
 			candidates = append(candidates, s)
@@ -385,6 +430,12 @@
 	if !s.Announcing {
 		cost += notAnnouncingPenalty
 	}
+	if s.cold(now) {
+		cost += coldPenalty
+		if !need.Repeatable {
+			cost += coldOncePenalty
+		}
+	}
 	return cost
 }
 
@@ -414,6 +465,10 @@
 	}
 	switch outcome {
 	case Served, Erred:
+		if s.ejections > 0 && s.ColdRate > 0 {
+			// It may have been replaced or dark, and have become cold, without an announcement yet.
+			s.ColdUntil = later(s.ColdUntil, now.Add(s.ColdStart))
+		}
 		s.consecutiveBroken, s.consecutiveRefusals, s.ejections = 0, 0, 0
 		s.ejectedUntil = time.Time{}
 		return 0
@@ -446,11 +501,11 @@
 	return 0, 0
 }
 
-// Count returns the number of upstreams that accept requests of this entry now and still announce themselves.
-func (t *Table) Count(now time.Time, service, role string) int {
+// Count returns the number of upstreams that accept such requests of this entry now and still announce themselves.
+func (t *Table) Count(now time.Time, need Need) int {
 	n := 0
 	for _, s := range t.states {
-		if s.Service == service && s.Role == role && !s.leaving() && !s.restricted(now) && s.Announcing {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() && !s.restricted(now) && s.Announcing && !s.cold(now) {
 			n++
 		}
 	}
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -33,6 +33,8 @@
 // Result is the result of a request for engines.
 type Result struct {
 	Placement Placement
+	// PlacedAt is when the placement of a generation that waited was made.
+	PlacedAt time.Time
 	// Err is nil, ErrNone or ErrBusy. RetryAfter is set with ErrBusy.
 	Err        error
 	RetryAfter time.Duration
@@ -128,7 +130,7 @@
 		service := w.Need.Service
 		if !blocked[service] {
 			if p, err := q.book.Place(now, w.Need); !errors.Is(err, ErrBusy) {
-				w.Done <- Result{Placement: p, Err: err}
+				w.Done <- Result{Placement: p, PlacedAt: now, Err: err}
 				continue
 			}
 			blocked[service] = len(w.Need.Exclude) == 0 && len(w.Need.Full) == 0
--- a/entry/place/restriction.go
+++ b/entry/place/restriction.go
@@ -132,12 +132,11 @@
 	return r != nil && r.incarnation == incarnation && (r.leaving || now.Before(r.pausedUntil))
 }
 
-// ResumeDelay returns the time until the first upstream of a service accepts requests of this entry again, or 0 if one does now
-// or none will.
-func (t *Table) ResumeDelay(now time.Time, service, role string) time.Duration {
+// ResumeDelay returns the time until the first upstream accepts such requests of this entry again, or 0 if one does now or none will.
+func (t *Table) ResumeDelay(now time.Time, need Need) time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for _, s := range t.states {
-		if s.Service == service && s.Role == role && !s.leaving() {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() {
 			least = min(least, s.pause(now))
 		}
 	}
@@ -149,18 +148,40 @@
 
 // errNoneOpen returns the error of Pick for a request that finds no upstream that accepts requests.
 func (t *Table) errNoneOpen(now time.Time, need Need) error {
-	e := &PausedError{Wait: math.MaxInt64, Retry: t.ResumeDelay(now, need.Service, need.Role)}
+	e := &PausedError{Wait: math.MaxInt64, Retry: t.ResumeDelay(now, need)}
 	for _, s := range t.states {
-		if s.Service == need.Service && s.Role == need.Role && !s.leaving() && !slices.Contains(need.Exclude, s.ID) {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() && !slices.Contains(need.Exclude, s.ID) {
 			e.Wait = min(e.Wait, s.pause(now))
 		}
 	}
 	if e.Wait == math.MaxInt64 && e.Retry == 0 {
-		return ErrNone
+		return t.WhyNone(need)
 	}
 	return e
 }
 
+// WhyNone returns why no upstream accepts such a request: ErrNone or one of its cases.
+func (t *Table) WhyNone(need Need) error {
+	present, allowed, others := false, false, false
+	for _, s := range t.states {
+		if s.Service != need.Service || s.Role != need.Role || !s.Announcing && !s.Evacuated {
+			continue
+		}
+		present = true
+		if need.allows(s.Region) {
+			allowed = true
+			others = others || !s.Evacuated
+		}
+	}
+	switch {
+	case present && !allowed:
+		return ErrRegion
+	case allowed && !others:
+		return ErrEvacuated
+	}
+	return ErrNone
+}
+
 // Leaving returns the engines, with their incarnations, that have stated that they leave and have not announced it yet.
 func (t *Table) Leaving() map[string]uint64 {
 	engines := map[string]uint64{}
--- a/entry/place/restriction_test.go
+++ b/entry/place/restriction_test.go
@@ -58,7 +58,7 @@
 	table := NewTable(0)
 	table.Set([]Upstream{a, b}, 1)
 	table.RecordNotice(epoch, a, leaving)
-	if got := table.Count(epoch, "s", RoleAny); got != 1 {
+	if got := table.Count(epoch, Need{Service: "s", Role: RoleAny}); got != 1 {
 		t.Errorf("got %d upstreams, want 1 without the one that leaves", got)
 	}
 	table.Set([]Upstream{withdrawn, b}, 1)
--- a/entry/usage/place.go
+++ b/entry/usage/place.go
@@ -33,6 +33,10 @@
 	Late bool
 	// PromptParts are the parts of the prompt that other prompts may share.
 	PromptParts []uint64
+	// Regions are those whose engines may run the generation, nil for all.
+	Regions []string
+	// Repeatable is set if the generation may run more than once.
+	Repeatable bool
 }
 
 // PlaceResult holds the engines of a generation.
@@ -42,6 +46,8 @@
 	Incarnation     uint64
 	// PrefillTime is the expected time until the prompt is processed.
 	PrefillTime time.Duration
+	// GrantedUntil is until when the generation may be sent to its engines although they are cold; the zero time if they were warm.
+	GrantedUntil time.Time
 	// RetryAfter is when the caller should retry. It is set with place.ErrBusy and ErrQuarantined.
 	RetryAfter time.Duration
 	// QuarantinedPart is set with ErrQuarantined.
@@ -62,12 +68,13 @@
 		SessionId: own, Service: need.Service, Generation: generationMessage(need.Generation), FailureDomain: need.FailureDomain,
 		Exclude: need.Exclude, Full: need.Full, WaitMillis: uint32(max(0, need.Wait.Milliseconds())),
 		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
-		Late: need.Late, PromptParts: need.PromptParts,
+		Late: need.Late, PromptParts: need.PromptParts, Regions: need.Regions, Restricted: need.Regions != nil, Repeatable: need.Repeatable,
 	}
+	sent := time.Now()
 	response, err := c.callPlace(ctx, own, id, request, need.Wait)
 	switch {
 	case err == nil:
-		return placeResult(response)
+		return placeResult(sent, response)
 	case ctx.Err() != nil:
 		return PlaceResult{}, context.Cause(ctx) //nolint:wrapcheck // callers check the cause
 	case status.Code(err) == codes.Unavailable:
@@ -122,7 +129,8 @@
 	return response, err //nolint:wrapcheck // the error only means that the coordinator failed
 }
 
-func placeResult(r *fleetpb.PlaceResponse) (PlaceResult, error) {
+// placeResult converts the response to a request that was sent at the given time.
+func placeResult(sent time.Time, r *fleetpb.PlaceResponse) (PlaceResult, error) {
 	switch {
 	case r.Quarantined:
 		retryAfter := time.Duration(r.RetryAfterMillis) * time.Millisecond
@@ -132,10 +140,15 @@
 	case r.Upstream == "":
 		return PlaceResult{RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond}, place.ErrBusy
 	}
-	return PlaceResult{
+	result := PlaceResult{
 		Decode: r.Upstream, Incarnation: r.Incarnation, Prefill: r.Prefill,
 		PrefillTime: time.Duration(r.PrefillMillis) * time.Millisecond,
-	}, nil
+	}
+	if r.ColdGranted {
+		// The request arrived after it was sent, so that the coordinator made the placement no earlier than this.
+		result.GrantedUntil = sent.Add(time.Duration(r.WaitedMillis)*time.Millisecond + place.GrantLifetime)
+	}
+	return result, nil
 }
 
 // ActsForFleet reports whether this entry does the work that one entry does for all: it is the coordinator, or no coordinator
--- a/entry/usage/usage.go
+++ b/entry/usage/usage.go
@@ -77,6 +77,10 @@
 	ObserveSilent(entries int)
 	// Generations returns the generations of this entry on decode engines.
 	Generations() []place.Generation
+	// ColdWanted returns how many requests this entry wanted to send to each cold upstream since the last call. GrantCold observes how
+	// many it may send until the given time.
+	ColdWanted() []place.ColdUse
+	GrantCold(until time.Time, uses []place.ColdUse)
 	// PrefillSpeed returns the observed rate of prefill engines in tokens per millisecond, or 0, and the time that a prefill
 	// takes beyond that.
 	PrefillSpeed() (rate float64, delay time.Duration)
@@ -396,6 +400,7 @@
 	c.addEvidence(report, id)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	sent := time.Now()
 	var response *fleetpb.FleetUse
 	var err error
 	if id == own {
@@ -415,6 +420,11 @@
 	}
 	c.apply(view, uses, response)
 	c.applyParts(response)
+	granted := make([]place.ColdUse, 0, len(response.ColdGranted))
+	for _, use := range response.ColdGranted {
+		granted = append(granted, place.ColdUse{ID: use.Id, Incarnation: use.Incarnation, Requests: int(use.Requests)})
+	}
+	c.loads.GrantCold(sent.Add(place.GrantLifetime), granted)
 	return nil
 }
 
@@ -440,6 +450,9 @@
 	for _, g := range c.loads.Generations() {
 		report.Generations = append(report.Generations, generationMessage(g))
 	}
+	for _, use := range c.loads.ColdWanted() {
+		report.ColdWanted = append(report.ColdWanted, &fleetpb.ColdUse{Id: use.ID, Incarnation: use.Incarnation, Requests: uint32(use.Requests)})
+	}
 	if c.config.Changing != nil {
 		for id, incarnation := range c.config.Changing() {
 			report.Changing = append(report.Changing, &fleetpb.UpstreamRef{Id: id, Incarnation: incarnation})
--- a/entry/usage/usage_test.go
+++ b/entry/usage/usage_test.go
@@ -47,6 +47,9 @@
 	peerLoads   map[uint64][]place.Load
 	peerRetries map[uint64][]retry.Total
 	peerDemands map[uint64]map[string]place.DemandTotal
+	// coldWanted is reported; coldGranted and coldUntil are the last grants.
+	coldWanted, coldGranted []place.ColdUse
+	coldUntil               time.Time
 }
 
 func newFakeLoads(work int) *fakeLoads {
@@ -75,6 +78,13 @@
 
 func (f *fakeLoads) Generations() []place.Generation        { return f.generations }
 func (f *fakeLoads) PrefillSpeed() (float64, time.Duration) { return 0, 0 }
+func (f *fakeLoads) ColdWanted() []place.ColdUse            { return f.coldWanted }
+
+func (f *fakeLoads) GrantCold(until time.Time, uses []place.ColdUse) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.coldGranted, f.coldUntil = uses, until
+}
 
 func (f *fakeLoads) Observe(session uint64, loads []place.Load) {
 	f.mu.Lock()
@@ -383,8 +393,8 @@
 	}
 }
 
-// TestCutOffCoordinator guards against a coordinator that others no longer reach, and that goes on admitting requests of a customer
-// beside its successor, so that the fleet admits the whole burst twice.
+// TestCutOffCoordinator guards against a coordinator that others no longer reach and that, like its successor, admits the whole burst of
+// a customer, so that the fleet admits it twice.
 func TestCutOffCoordinator(t *testing.T) {
 	entries := startFleet(t, 4)
 	awaitCoordinator(t, entries, 1)
--- a/entry/web/codec.go
+++ b/entry/web/codec.go
@@ -67,6 +67,8 @@
 	RetryAfter time.Duration
 	// Leaving is set if the upstream states that it is about to stop.
 	Leaving bool
+	// Cold is how long the upstream states that it stays cold; 0 if it states no time.
+	Cold time.Duration
 }
 
 // Codec reads and writes the headers and control calls of the protocol between callers, routers and upstreams.
--- a/entry/web/place.go
+++ b/entry/web/place.go
@@ -19,6 +19,8 @@
 	prefill string
 	// prefillTime is the expected time until the prompt is processed.
 	prefillTime time.Duration
+	// grantedUntil is until when the engines may get the generation although they are cold.
+	grantedUntil time.Time
 }
 
 // findEngines asks the coordinator for engines. The entry chooses the decode engine itself if no coordinator answers. The
@@ -71,14 +73,18 @@
 		case err != nil:
 			return placement{}, nil, err
 		}
-		if u, ok := q.router.assign(result.Decode, result.Incarnation, q.need); ok {
+		need := q.need
+		need.GrantedUntil = result.GrantedUntil
+		if u, ok := q.router.assign(result.Decode, result.Incarnation, need); ok {
 			q.beginGeneration(u)
-			return placement{decode: u, coordinated: true, prefill: result.Prefill, prefillTime: result.PrefillTime}, nil, nil
+			return placement{
+				decode: u, coordinated: true, prefill: result.Prefill, prefillTime: result.PrefillTime, grantedUntil: result.GrantedUntil,
+			}, nil, nil
 		}
-		if !q.router.restricted(result.Decode, result.Incarnation) {
+		if !q.router.restricted(result.Decode, result.Incarnation) && !q.router.mayBeCold(result.Decode, result.Incarnation) {
 			break
 		}
-		// The engine has stated that it wants no requests while this one waited at the coordinator.
+		// The engine has stated that it wants no requests, or that it is cold, while this one waited at the coordinator.
 	}
 	return placement{}, nil, errNotPlaced
 }
@@ -90,7 +96,7 @@
 		Service: q.service, Generation: q.describeGeneration(), FailureDomain: q.router.config.FailureDomain,
 		Exclude: append(q.router.unavailable(q.service), q.need.Exclude...), Full: full,
 		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left, Late: q.late,
-		PromptParts: q.sharedParts(),
+		PromptParts: q.sharedParts(), Regions: q.need.Regions, Repeatable: q.need.Repeatable,
 	}
 }
 
--- a/entry/web/plain.go
+++ b/entry/web/plain.go
@@ -84,7 +84,7 @@
 func (q *request) otherUpstreams() int {
 	q.router.mu.Lock()
 	defer q.router.mu.Unlock()
-	return q.router.table.Count(time.Now(), q.need.Service, q.need.Role) - 1
+	return q.router.table.Count(time.Now(), q.need) - 1
 }
 
 // attemptTimeout returns how long to wait for the first byte of the response to this attempt.
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -153,7 +154,10 @@
 	q.deadline = q.x.Arrived.Add(min(patience, q.route.Timeout) - responseMargin)
 	q.ctx, q.cancel = context.WithDeadline(q.x.Context, q.deadline)
 	q.service = q.route.PickService(rand.Uint64())
-	q.need = place.Need{Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain}
+	q.need = place.Need{
+		Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain, Regions: document.AllowedRegions(q.route, q.customer),
+		Repeatable: q.idempotent(),
+	}
 	if s := q.document.Services[q.service]; s.Engine != nil {
 		q.need.Role = place.RoleDecode
 		q.expectedOutput = q.router.expectedOutput(q.service, q.call)
@@ -269,7 +273,7 @@
 		delay := max(place.ResumeRetryDelay(paused.Retry, time.Until(q.deadline)), busyRetryAfter)
 		return &refusal{fasthttp.StatusServiceUnavailable, "all upstreams of the service have asked for a pause", delay}
 	case errors.Is(err, place.ErrNone):
-		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", minStartupRetry}
+		return q.noneRefusal()
 	default:
 		reason := "all upstreams of the service are busy"
 		if errors.Is(err, errRetryBudget) {
@@ -279,6 +283,25 @@
 	}
 }
 
+// noneRefusal returns the refusal of a request that no upstream of its service accepts.
+func (q *request) noneRefusal() *refusal {
+	q.router.mu.Lock()
+	err := q.router.table.WhyNone(q.need)
+	q.router.mu.Unlock()
+	switch {
+	case errors.Is(err, place.ErrEvacuated):
+		return &refusal{fasthttp.StatusServiceUnavailable, "all failure domains with upstreams of the service are evacuated", q.latestRetry()}
+	case errors.Is(err, place.ErrRegion):
+		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream in a region where the request may run", q.latestRetry()}
+	}
+	return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream that accepts requests", minStartupRetry}
+}
+
+// latestRetry returns the Retry-After of a request that only an operator can help.
+func (q *request) latestRetry() time.Duration {
+	return place.ResumeRetryDelay(math.MaxInt64, time.Until(q.deadline))
+}
+
 // expectedOutput returns the expected number of output tokens of a generation: the caller's estimate, the average of the
 // service over all entries, or half the limit. An entry of a large fleet sees too few generations for an average of its own,
 // and the first ones that end are short.
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -102,6 +102,8 @@
 	othersReport bool
 	// started is when the process started.
 	started time.Time
+	// awake tells whether this process was stopped.
+	awake control.PauseDetector
 
 	// lastView is the view of the previous call of OnChange. It needs no lock, because OnChange has one caller.
 	lastView *control.View
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -53,7 +53,7 @@
 // sendTo sends the request to the upstream and reads the response, or only its header if stream is set.
 func (q *request) sendTo(u place.Upstream, need place.Need, f Forwarding, firstByteTimeout time.Duration, stream bool) *attempt {
 	s := &attempt{upstream: u, need: need, began: time.Now(), response: fasthttp.AcquireResponse(), prefill: f.Prefill}
-	if q.router.restricted(u.ID, u.Incarnation) {
+	if q.router.restricted(u.ID, u.Incarnation) || !q.router.maySend(u) {
 		s.outcome, s.err = place.Cancelled, &conn.Error{Address: u.Address, Err: errRestricted}
 		return s
 	}
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -138,7 +138,7 @@
 		f.Fetch = q.prefillAddress
 	case usePrefill:
 		var allowed bool
-		if f.Source, f.Handle, allowed = q.prefill(p.prefill, expected); !allowed && !q.mayHaveRun {
+		if f.Source, f.Handle, allowed = q.prefill(p, expected); !allowed && !q.mayHaveRun {
 			q.endGeneration()
 			q.router.endAttempt(p.decode, q.need, place.Cancelled)
 			q.releaseReservation(p.decode.Address, f.Reservation)
@@ -214,12 +214,12 @@
 	return left
 }
 
-// prefill runs the prefill on the given prefill engine, or on another one if it is empty or fails. If the prefill fails,
+// prefill runs the prefill on the prefill engine of the placement, or on another one if it names none or that one fails. If the prefill fails,
 // prefill returns empty strings, and the decode engine processes the prompt itself. The retry budget counts that as a retry;
 // allowed is false if the budget is used up.
-func (q *request) prefill(engine string, expected time.Duration) (source, handle string, allowed bool) {
-	need := q.need
-	need.Role, need.Work, need.Exclude = place.RolePrefill, max(1, q.call.PromptTokens), nil
+func (q *request) prefill(p placement, expected time.Duration) (source, handle string, allowed bool) {
+	need, engine := q.need, p.prefill
+	need.Role, need.Work, need.Exclude, need.GrantedUntil = place.RolePrefill, max(1, q.call.PromptTokens), nil, p.grantedUntil
 	sent := false
 	for range maxPrefills {
 		s := q.tryPrefill(&need, engine, expected)
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -38,6 +38,18 @@
 	network  string
 	controls []*fleet.Process
 	entry    *fleet.Process
+	// startControl starts the control process with the given index.
+	startControl func(i int, args ...string) *fleet.Process
+}
+
+// restartControl kills a control process and starts it again with its data.
+func (p *platform) restartControl(i int) {
+	p.t.Helper()
+	if err := p.controls[i].Signal(syscall.SIGKILL); err != nil {
+		p.t.Fatal(err)
+	}
+	<-p.controls[i].Done()
+	p.controls[i] = p.startControl(i)
 }
 
 func (p *platform) address(host, port int) string {
@@ -56,6 +68,12 @@
 
 // startPlatform starts the processes in a network of their own, 127.N.0.x, and puts the first document.
 func startPlatform(t *testing.T) *platform {
+	t.Helper()
+	return startPlatformWith(t, nil, nil)
+}
+
+// startPlatformWith starts the processes with further arguments.
+func startPlatformWith(t *testing.T, controlArgs, entryArgs []string) *platform {
 	t.Helper()
 	p := &platform{t: t}
 	for n := 201; n < 250 && p.network == ""; n++ {
@@ -77,10 +95,13 @@
 		}
 		return process
 	}
+	p.startControl = func(i int, args ...string) *fleet.Process {
+		return start("control", 11+i, i, append([]string{"-data-dir", filepath.Join(dir, fmt.Sprint("data", i)), "-announce-every", "400ms"}, append(args, controlArgs...)...)...)
+	}
 	for i := range platformControls {
-		p.controls = append(p.controls, start("control", 11+i, i, "-data-dir", filepath.Join(dir, fmt.Sprint("data", i)), "-first-start=true", "-announce-every", "400ms"))
+		p.controls = append(p.controls, p.startControl(i, "-first-start=true"))
 	}
-	p.entry = start("entry", 51, 0, "-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String())
+	p.entry = start("entry", 51, 0, append([]string{"-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String()}, entryArgs...)...)
 	t.Cleanup(func() {
 		for _, process := range append(p.controls, p.entry) {
 			_ = process.Signal(syscall.SIGCONT)
@@ -113,12 +134,17 @@
 
 // startUpstream starts an upstream whose plain requests take the given time.
 func (p *platform) startUpstream(work time.Duration, journal *standin.Journal) {
+	p.startUpstreamIn("a", work, journal)
+}
+
+// startUpstreamIn starts an upstream in a failure domain, with the ID "u-" and the domain.
+func (p *platform) startUpstreamIn(domain string, work time.Duration, journal *standin.Journal) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		p.t.Fatal(err)
 	}
 	u := &standin.Upstream{
-		ID: "u-1", Service: standin.Service, FailureDomain: "a", Born: time.Now().UnixMilli(), AnnouncedAddress: ln.Addr().String(),
+		ID: "u-" + domain, Service: standin.Service, FailureDomain: domain, Born: time.Now().UnixMilli(), AnnouncedAddress: ln.Addr().String(),
 		ControlAddresses: p.controlAddresses(), Journal: journal, Work: work,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -80,7 +80,9 @@
 	// lastStartMs is the start time of the newest upstream in Unix milliseconds. It increases with every upstream.
 	lastStartMs   int64
 	upstreamCount int
-	mu            sync.Mutex
+	// domains holds the failure domain of each upstream that was ever started.
+	domains map[string]string
+	mu      sync.Mutex
 }
 
 func (s *system) host(n int) string { return fmt.Sprintf("127.%d.0.%d", s.network, n) }
@@ -113,7 +115,7 @@
 func (s *system) instances() []*instance { return slices.Concat(s.controls, s.entries) }
 
 func startSystem(o Options) (*system, error) {
-	s := &system{dir: o.Dir, bin: o.Bin, runner: fleet.NewRunner(), journal: standin.NewJournal(), lastStartMs: time.Now().UnixMilli()}
+	s := &system{dir: o.Dir, bin: o.Bin, runner: fleet.NewRunner(), journal: standin.NewJournal(), lastStartMs: time.Now().UnixMilli(), domains: map[string]string{}}
 	for s.network = firstNetwork; s.network <= lastNetwork; s.network++ {
 		lock, err := net.Listen("tcp", s.address(1, lockPort))
 		if err == nil {
@@ -201,6 +203,7 @@
 		ID: fmt.Sprintf("u-%d", s.upstreamCount), Service: standin.Service, FailureDomain: string(rune('a' + s.upstreamCount%3)), Born: s.lastStartMs,
 		AnnouncedAddress: b.proxy.Address(), ControlAddresses: s.controlAddresses(), Journal: s.journal,
 	}
+	s.domains[b.standin.ID] = b.standin.FailureDomain
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,12 @@
 	meanFaultInterval = 500 * time.Millisecond
 	// recoveryCalls is the number of requests in each round of measureServedShare.
 	recoveryCalls = 200
+	// evacuationBound is the bound of the platform after which an evacuated upstream gets no request.
+	evacuationBound = 5 * time.Second
+	// evacuationCalls is the number of requests that check an evacuation.
+	evacuationCalls = 50
+	// meanEvacuation is the mean time that a failure domain stays evacuated, and the mean time between two evacuations.
+	meanEvacuation = time.Second
 	// minServedShare is the share of these requests that must be served.
 	minServedShare = 0.9
 	// maxStreamEvents is the largest number of events in a streamed response. An upstream sends one event each 20 ms.
@@ -151,6 +157,7 @@
 		})
 	}
 	group.Go(func() error { return s.updateDocuments(callCtx) })
+	group.Go(func() error { return s.orderEvacuations(faultCtx, callCtx) })
 	group.Go(func() error {
 		s.checkReads(callCtx)
 		return nil
@@ -161,6 +168,7 @@
 	}
 	stopCalls()
 	err = errors.Join(err, group.Wait())
+	s.checkEvacuation(ctx)
 	s.checkExecutions()
 	s.checkFinalVersion(ctx)
 	return err
