Evacuated upstreams keep their records, and cold engines are used sooner

A cold engine was left idle until the warm ones were half full, after each evacuation a third of the fleet, although the coordinator counts what it gets.

--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -66,8 +66,8 @@
 }
 
 // applyEvacuations sets Upstreams from the announced ones: those of an evacuated failure domain finish what they run, as if they had
-// announced that they leave.
-func (v *View) applyEvacuations() {
+// announced that they leave. Records that have not changed since the view before are kept.
+func (v *View) applyEvacuations(before *View) {
 	v.Upstreams = v.announced
 	evacuating := false
 	for _, e := range v.Evacuations {
@@ -79,8 +79,12 @@
 	v.Upstreams = make(map[string]*fleetpb.Upstream, len(v.announced))
 	for id, u := range v.announced {
 		if v.Evacuated(u.FailureDomain) && u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE {
-			u = proto.CloneOf(u)
-			u.State = fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING
+			if before.announced[id] == u && before.Upstreams[id] != u {
+				u = before.Upstreams[id]
+			} else {
+				u = proto.CloneOf(u)
+				u.State = fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING
+			}
 		}
 		v.Upstreams[id] = u
 	}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -146,7 +146,7 @@
 				Str("operator", evacuation.Operator).Uint64("index", e.Index)
 		})
 	}
-	next.applyEvacuations()
+	next.applyEvacuations(v)
 	next.observeCold(time.Now(), e)
 	return &next, true, nil
 }
--- a/entry/place/book.go
+++ b/entry/place/book.go
@@ -80,9 +80,9 @@
 	// probeDuration is how long an engine that has failed gets nothing else after a probe. An engine that does not respond is
 	// noticed within it.
 	probeDuration = 2 * time.Second
-	// coldEnginePenalty is the cost of a cold decode engine, as a share of the engine's memory: it gets generations when the others
-	// are half full.
-	coldEnginePenalty = 0.5
+	// coldEnginePenalty is the cost of a cold decode engine, as a share of the engine's memory. It is small, because the rate at which the
+	// engine bears requests is counted.
+	coldEnginePenalty = 0.05
 	// suspectPenalty makes an engine that an entry has ejected the last choice.
 	suspectPenalty = 10
 )
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -152,8 +152,8 @@
 	// FullBackoff is how long an upstream that is full is skipped. An engine with ten concurrent generations of a few
 	// seconds each can start another one a few times per second.
 	FullBackoff = 100 * time.Millisecond
-	// coldPenalty makes a cold upstream the choice only if the others have much more to do: what it crashes on is lost.
-	coldPenalty = 4
+	// coldPenalty makes a cold upstream the choice only if the others have more to do.
+	coldPenalty = 1
 	// coldOncePenalty is added for a request that must not run again.
 	coldOncePenalty = 20
 	// notAnnouncingPenalty makes an upstream whose announcements have stopped the last choice.
