--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -362,7 +362,7 @@
 			scope.Gauge("held_bytes").Update(float64(use.Bytes))
 			evicted := use.Evictions - evictions[use.Kind]
 			evictions[use.Kind] = use.Evictions
-			scope.Counter("evictions").Inc(evicted)
+			scope.Counter("evictions_total").Inc(evicted)
 			if evicted > 0 {
 				e.events.Write(event.MemoryShort, func(l *log.Entry) {
 					l.Str("kind", use.Kind).Int64("evicted", evicted).Int64("heldBytes", use.Bytes).Int64("connections", e.callers.OpenConnections())
