Retry budget: count what each entry may have used, and resend to a refusing upstream later

A coordinator reports the retries of all other entries as one sum. Until the next report each entry assumed that this sum had grown by as much as its own use, as if one other entry existed. A sum now counts as the entries that it stands for.

A request that the only upstream left had refused was sent there again at once, four times in 20 ms. It now waits 10 ms first, and twice as long each time.

--- a/entry/retry/retry.go
+++ b/entry/retry/retry.go
@@ -48,6 +48,8 @@
 	// requests and retries are the totals of the peer's last report, not the counts in the window.
 	requests, retries uint64
 	lastReportAt      time.Time
+	// entries is how many entries the report sums up, at least 1.
+	entries int
 }
 
 // Budget is the retry budget of one pool at one entry. It is not safe for concurrent use.
@@ -67,9 +69,9 @@
 }
 
 // AllowShared reports whether a retry is allowed, and counts the retry if so. A retry is allowed if the retries of the
-// fleet stay within percent of the fleet's requests plus the floor. Each peer is assumed to have made as many retries
-// since its last report as this entry made in the current interval. A silent peer is assumed to have used its part of
-// the floor. Entries is the number of all entries, including this one. Part is the part of the fleet whose use this entry
+// fleet stay within percent of the fleet's requests plus the floor. Each other entry is assumed to have made as many
+// retries since the last report as this entry made in the current interval. A silent peer is assumed to have used its part of
+// the floor. Entries is the number of reporting entries, including this one, where a sum counts as one. Part is the part of the fleet whose use this entry
 // knows, above 0 and at most 1: the other part may use a budget of its own, so only that part of the whole budget is used.
 func (b *Budget) AllowShared(now time.Time, percent float64, entries int, part float64) bool {
 	if !b.Available(now, percent, entries, part) {
@@ -91,8 +93,8 @@
 	return float64(retries+1) <= part*(float64(requests)*percent/100+allowance)
 }
 
-// fleetSums returns the requests and retries of all entries in the window, as far as reported. For each peer, fleetSums
-// adds the retries of this entry in the current interval, in place of retries that are not reported yet.
+// fleetSums returns the requests and retries of all entries in the window, as far as reported. For each other entry,
+// fleetSums adds the retries of this entry in the current interval, in place of retries that are not reported yet.
 func (b *Budget) fleetSums(now time.Time) (requests, retries uint64) {
 	requests, retries = b.local.sums()
 	recentRetries := uint64(b.local.retries[b.local.current%intervalCount])
@@ -104,7 +106,7 @@
 		p.advance(intervalIndex(now))
 		q, r := p.sums()
 		requests += q
-		retries += r + recentRetries
+		retries += r + recentRetries*uint64(p.entries)
 	}
 	return requests, retries
 }
@@ -130,16 +132,22 @@
 // AddPeerTotals adds the increase of another entry's totals to the window. Decreased totals mean that the entry
 // restarted; they replace the old totals and add nothing to the window.
 func (b *Budget) AddPeerTotals(now time.Time, session, requests, retries uint64) {
+	b.AddSummedTotals(now, session, 1, requests, retries)
+}
+
+// AddSummedTotals is like AddPeerTotals for the sum of the totals of several other entries, at least 1.
+func (b *Budget) AddSummedTotals(now time.Time, session uint64, entries int, requests, retries uint64) {
 	p := b.peers[session]
 	if p == nil {
 		// The peer may have counted its first totals before this window.
 		b.peers[session] = &peer{
 			window: window{current: intervalIndex(now)}, requests: requests, retries: retries, lastReportAt: now,
+			entries: max(1, entries),
 		}
 		return
 	}
 	p.advance(intervalIndex(now))
-	p.lastReportAt = now
+	p.lastReportAt, p.entries = now, max(1, entries)
 	if requests >= p.requests && retries >= p.retries {
 		p.window.requests[p.current%intervalCount] += uint32(requests - p.requests)
 		p.window.retries[p.current%intervalCount] += uint32(retries - p.retries)
--- a/entry/retry/retry_test.go
+++ b/entry/retry/retry_test.go
@@ -101,6 +101,47 @@
 	}
 }
 
+// TestSummedBudget guards against entries that exceed the fleet's budget together, in a burst of refusals at all of them,
+// because a coordinator reports the retries of all the others as one sum.
+func TestSummedBudget(t *testing.T) {
+	const entries, floor, percent = 27, 130, 14.0
+	now := time.Unix(1000, 0)
+	var budgets [entries]*Budget
+	for i := range budgets {
+		budgets[i] = WithFloor(floor)
+	}
+	requests, retries := 0, 0
+	for step := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		for _, b := range budgets {
+			if step%4 == 0 {
+				b.CountRequest(now)
+				requests++
+			}
+			// From the seventh second on each request is refused and sent again.
+			for range 4 {
+				if step >= 700 && step%4 == 0 && b.AllowShared(now, percent, 2, 1) {
+					retries++
+				}
+			}
+		}
+		if step%30 == 0 {
+			var q, r uint64
+			for _, b := range budgets {
+				oneQ, oneR := b.Totals()
+				q, r = q+oneQ, r+oneR
+			}
+			for _, b := range budgets {
+				oneQ, oneR := b.Totals()
+				b.AddSummedTotals(now, 1, entries-1, q-oneQ, r-oneR)
+			}
+		}
+	}
+	if most := float64(requests)*percent/100 + floor; float64(retries) > most || float64(retries) < most/2 {
+		t.Errorf("got %d retries for %d requests, want at most %.0f and at least half of that", retries, requests, most)
+	}
+}
+
 // TestSplitBudget guards against two sides of a split fleet that each use the whole retry budget, because the coordinator of one does
 // not know the use of the other.
 func TestSplitBudget(t *testing.T) {
--- a/entry/web/plain.go
+++ b/entry/web/plain.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/retry"
 )
 
 const (
@@ -68,10 +69,31 @@
 		}
 		if len(q.need.Exclude) < q.otherUpstreams() {
 			q.need.Exclude = append(q.need.Exclude, u.ID)
+		} else if q.successor == nil && s.notRun() && !q.pauseBeforeResend(attempts) {
+			q.finishFailed(last)
+			return
 		}
 	}
 }
 
+// pauseBeforeResend waits before a request is sent again to the only upstream left, which has refused it: 10 ms first,
+// and twice as long each time. It returns false if the request ends before.
+func (q *request) pauseBeforeResend(attempt int) bool {
+	const shortest = 10 * time.Millisecond
+	pause := shortest << min(attempt, maxRefusals)
+	if !retry.InTime(time.Now(), q.deadline, pause) {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-q.ctx.Done():
+		return false
+	}
+}
+
 // nextUpstream returns the upstream that takes over from a silent one, or chooses one.
 func (q *request) nextUpstream(until time.Time) (place.Upstream, error) {
 	if next := q.takeSuccessor(); next != nil {
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -334,7 +334,7 @@
 	defer r.mu.Unlock()
 	r.othersReport = true
 	for _, t := range totals {
-		r.budget(t.Service).AddPeerTotals(now, session, t.Requests, t.Retries)
+		r.budget(t.Service).AddSummedTotals(now, session, r.entryCount-1, t.Requests, t.Retries)
 	}
 }
 
