Urgent generations take the memory that becomes free first

The queue of the coordinator went by arrival, so that a burst of less urgent work kept urgent generations waiting until they were refused. It now goes by the priority of the route, then by arrival; after eight placements one of those passed by goes first. With equal priorities nothing changes.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -273,7 +273,7 @@
 			Session: r.SessionId, Service: r.Service, Generation: generation(r.Generation), FailureDomain: r.FailureDomain,
 			Exclude: r.Exclude, Full: r.Full, Target: milliseconds(r.TargetMillis), Regions: regions(r), Repeatable: r.Repeatable,
 		},
-		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Late: r.Late, Done: make(chan place.Result, 1),
+		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Late: r.Late, Priority: int(r.Priority), Done: make(chan place.Result, 1),
 	}
 	result, done, err := c.enqueue(now, w)
 	if err != nil {
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -1,27 +1,38 @@
 package place
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
 )
 
-// Queue holds generations that wait for memory, in the order of their arrival; those of callers that were refused before
-// and can no longer be served within the target come after all others and wait longer, instead of being refused again. In
-// a burst, a generation is refused at once if those before it are expected to take the memory that becomes free while it
-// may wait. A Queue is not safe for concurrent use.
+// Queue holds generations of all entries that wait for memory, the more urgent ones first, and those of one priority in
+// the order of their arrival. It is made for a burst of less urgent work that fills the engines: an urgent generation
+// takes the next memory that becomes free. So that the others are not left out, one of them goes first after maxPassed
+// placements that passed it by. Generations of callers that were refused before and can no longer be served within the
+// target come after all others and wait longer, instead of being refused again. In a burst, a generation is refused at
+// once if those before it are expected to take the memory that becomes free while it may wait. A Queue is not safe for
+// concurrent use.
 type Queue struct {
 	book       *Book
 	estimators map[string]*RetryEstimator
 	waiting    []*Waiting
+	// passed counts, by service, the placements since a less urgent generation that waits was placed.
+	passed map[string]int
 }
 
+// maxPassed is the number of more urgent generations that pass a less urgent one by.
+const maxPassed = 8
+
 // Waiting is a generation in a queue.
 type Waiting struct {
 	Need GenerationNeed
 	// Until is when the generation is refused, Patience how long its caller waits from when the generation was added.
 	Until    time.Time
 	Patience time.Duration
+	// Priority is the priority of the generation; 0 is the most urgent.
+	Priority int
 	// Late is set if the caller can no longer be served within its target.
 	Late bool
 	// Done receives the result once.
@@ -30,6 +41,17 @@
 	addedAt time.Time
 }
 
+// order compares the places of two waiting generations. It is 0 for those in the order of their arrival.
+func (w *Waiting) order(other *Waiting) int {
+	if w.Late != other.Late {
+		if w.Late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(w.Priority, other.Priority)
+}
+
 // Result is the result of a request for engines.
 type Result struct {
 	Placement Placement
@@ -41,7 +63,9 @@
 }
 
 // NewQueue returns an empty queue of generations that the book places.
-func NewQueue(book *Book) *Queue { return &Queue{book: book, estimators: map[string]*RetryEstimator{}} }
+func NewQueue(book *Book) *Queue {
+	return &Queue{book: book, estimators: map[string]*RetryEstimator{}, passed: map[string]int{}}
+}
 
 // estimator returns the estimator of when refused callers of a service return.
 func (q *Queue) estimator(service string) *RetryEstimator {
@@ -75,7 +99,7 @@
 func (q *Queue) ahead(w *Waiting) int {
 	n := 0
 	for _, other := range q.waiting {
-		if other.Need.Service == w.Need.Service && (w.Late || !other.Late) {
+		if other.Need.Service == w.Need.Service && other.order(w) <= 0 {
 			n++
 		}
 	}
@@ -108,29 +132,55 @@
 	}
 }
 
+// raisePassed moves the first of the least urgent generations of a service to the front, if it has been passed by often enough.
+func (q *Queue) raisePassed() {
+	for service, n := range q.passed {
+		if n < maxPassed {
+			continue
+		}
+		raised := -1
+		for i, w := range q.waiting {
+			if w.Need.Service == service && !w.Late && (raised < 0 || w.Priority > q.waiting[raised].Priority) {
+				raised = i
+			}
+		}
+		if raised > 0 {
+			w := q.waiting[raised]
+			copy(q.waiting[1:raised+1], q.waiting[:raised])
+			q.waiting[0] = w
+		}
+	}
+}
+
+// countPassed records the placement of a generation that waited before the others.
+func (q *Queue) countPassed(placed *Waiting, others []*Waiting) {
+	service := placed.Need.Service
+	for _, w := range others {
+		if w.Need.Service == service && !w.Late && w.Priority > placed.Priority {
+			q.passed[service]++
+			return
+		}
+	}
+	delete(q.passed, service)
+}
+
 // Advance places waiting generations in their order, and refuses those that waited for too long. It sends the results
 // to Done. A generation that does not fit lets no later one of its service pass, unless it excludes engines itself.
 func (q *Queue) Advance(now time.Time) {
 	if len(q.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(q.waiting, func(a, b *Waiting) int {
-		switch {
-		case a.Late == b.Late:
-			return 0
-		case a.Late:
-			return 1
-		}
-		return -1
-	})
+	slices.SortStableFunc(q.waiting, (*Waiting).order)
+	q.raisePassed()
 	blocked := map[string]bool{}
 	var refused []*Waiting
-	kept := q.waiting[:0]
-	for _, w := range q.waiting {
+	var kept []*Waiting
+	for i, w := range q.waiting {
 		service := w.Need.Service
 		if !blocked[service] {
 			if p, err := q.book.Place(now, w.Need); !errors.Is(err, ErrBusy) {
 				w.Done <- Result{Placement: p, PlacedAt: now, Err: err}
+				q.countPassed(w, q.waiting[i+1:])
 				continue
 			}
 			blocked[service] = len(w.Need.Exclude) == 0 && len(w.Need.Full) == 0
@@ -141,7 +191,6 @@
 		}
 		refused = append(refused, w)
 	}
-	clear(q.waiting[len(kept):])
 	q.waiting = kept
 	for _, w := range refused {
 		w.Done <- q.refuse(now, w)
--- a/entry/usage/place.go
+++ b/entry/usage/place.go
@@ -29,6 +29,8 @@
 	// Wait is how long the generation may wait for memory. Target is the latency target, Patience how long the caller
 	// waits.
 	Wait, Target, Patience time.Duration
+	// Priority is the priority of the request; 0 is the most urgent.
+	Priority int
 	// Late is set if the target has passed already, because the caller was refused before.
 	Late bool
 	// PromptParts are the parts of the prompt that other prompts may share.
@@ -68,7 +70,7 @@
 		SessionId: own, Service: need.Service, Generation: generationMessage(need.Generation), FailureDomain: need.FailureDomain,
 		Exclude: need.Exclude, Full: need.Full, WaitMillis: uint32(max(0, need.Wait.Milliseconds())),
 		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
-		Late: need.Late, PromptParts: need.PromptParts, Regions: need.Regions, Restricted: need.Regions != nil, Repeatable: need.Repeatable,
+		Late: need.Late, Priority: uint32(max(0, need.Priority)), PromptParts: need.PromptParts, Regions: need.Regions, Restricted: need.Regions != nil, Repeatable: need.Repeatable,
 	}
 	sent := time.Now()
 	response, err := c.callPlace(ctx, own, id, request, need.Wait)
--- a/entry/web/place.go
+++ b/entry/web/place.go
@@ -95,11 +95,19 @@
 	return usage.PlaceNeed{
 		Service: q.service, Generation: q.describeGeneration(), FailureDomain: q.router.config.FailureDomain,
 		Exclude: append(q.router.unavailable(q.service), q.need.Exclude...), Full: full,
-		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left, Late: q.late,
+		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left, Late: q.late, Priority: q.priority(),
 		PromptParts: q.sharedParts(), Regions: q.need.Regions, Repeatable: q.need.Repeatable,
 	}
 }
 
+// priority returns the priority of the request: its customer's, or that of its route.
+func (q *request) priority() int {
+	if q.customer != nil && q.customer.HasPriority {
+		return q.customer.Priority
+	}
+	return q.route.Priority
+}
+
 // busyRefusal returns the refusal of a request that finds no free memory.
 func (q *request) busyRefusal(retryAfter time.Duration) *refusal {
 	if q.ctx.Err() != nil || q.mayHaveRun {
