Hedged requests for plain services: a second upstream for slow ones, within a limit

A few upstreams that are slow for a moment decided the longest response times. With -hedge-ratio (default 0, off) a repeatable request of a plain service is sent to a second upstream with room once it has waited for longer than the quantile that the limit leaves. The first good response counts, the other attempt is cancelled. The limit is a share of each entry's own requests, inside the retry budget.

--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -60,6 +60,8 @@
 	Revocation time.Duration
 	// RetryRatio is the share of a service's requests that may be retried.
 	RetryRatio float64
+	// HedgeRatio is the share of a plain service's repeatable requests that may run on a second upstream at once.
+	HedgeRatio float64
 	// RetrySlack is the number of retries in 10 s that are allowed beyond RetryRatio.
 	RetrySlack int
 	// OrderPause is how long a new holder of the order lease waits before its first order after taking over from the
@@ -102,6 +104,7 @@
 	s.Period(&c.Revocation, "revocation", 5*time.Second, time.Second, time.Hour,
 		"time after which a withdrawn key must not work")
 	s.Float64Var(&c.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
+	s.Float64Var(&c.HedgeRatio, "hedge-ratio", 0, "share of a plain service's repeatable requests that may be sent to a second upstream before the first responds")
 	s.Count(&c.RetrySlack, "retry-slack", 40, 0, 1_000_000, "how many more may be sent again in 10 s")
 	s.Period(&c.OrderPause, "order-pause", 3*time.Second, time.Second, time.Minute,
 		"time that a new sender of orders waits after the one before it")
@@ -124,6 +127,9 @@
 	if c.RetryRatio < 0 || c.RetryRatio > 1 {
 		return eris.Errorf("setting -retry-ratio=%v: want 0 to 1", c.RetryRatio)
 	}
+	if c.HedgeRatio < 0 || c.HedgeRatio > 0.5 {
+		return eris.Errorf("setting -hedge-ratio=%v: want 0 to 0.5", c.HedgeRatio)
+	}
 	return nil
 }
 
@@ -321,6 +327,7 @@
 		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
 		FreshFor: freshnessBound, Grace: c.Grace - stopMargin,
 		RetryPercent: c.RetryRatio * retryBudgetShare * 100, RetryFloor: int(float64(c.RetrySlack) * retryBudgetShare),
+		HedgePercent: c.HedgeRatio * 100, Hedged: e.countHedge,
 		Metrics: metric.NewRequests(e.metrics.Scope), Guard: guard, Events: events, Background: &e.background,
 	})
 	e.limiter.SetLoads(e.router)
@@ -335,6 +342,15 @@
 	return e, nil
 }
 
+// countHedge counts a request that was sent to a second upstream.
+func (e *webEntry) countHedge(won bool) {
+	result := "lost"
+	if won {
+		result = "won"
+	}
+	e.metrics.Tagged(map[string]string{"result": result}).Counter("hedges_total").Inc(1)
+}
+
 // runningEvacuated returns how many requests of this entry still run in each evacuated failure domain, and passes their sum to set.
 func (e *webEntry) runningEvacuated(set func(sum float64)) map[string]int {
 	running, sum := e.router.RunningEvacuated(), 0
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -346,6 +346,32 @@
 	return u, true
 }
 
+// PickSpare chooses an upstream for a copy of a request that runs on another one, and reports whether there is one with
+// room for it: one that no entry has ejected, that is not cold, that has fewer requests than the other one and uses at most
+// half of its slots.
+func (t *Table) PickSpare(now time.Time, need Need, other Upstream) (Upstream, bool) {
+	running := math.MaxInt
+	if s := t.states[other.ID]; s != nil {
+		_, running = s.totalLoad()
+	}
+	var spare *state
+	for i := range t.ids {
+		s := t.states[t.ids[(i+t.rotation)%len(t.ids)]]
+		_, requests := s.totalLoad()
+		if s.Service != need.Service || s.Role != need.Role || s.ID == other.ID || slices.Contains(need.Exclude, s.ID) || !need.allows(s.Region) ||
+			s.leaving() || !s.Announcing || s.restricted(now) || s.cold(now) || s.tier(now) > 0 || s.full(need.Work) || now.Before(s.fullUntil) ||
+			s.Slots > 0 && 2*requests > s.Slots || requests >= running {
+			continue
+		}
+		spare, running = s, requests
+	}
+	if spare == nil {
+		return Upstream{}, false
+	}
+	t.start(spare, need)
+	return spare.Upstream, true
+}
+
 func (t *Table) start(s *state, need Need) {
 	t.rotation++
 	s.ownWork += need.Work
--- a/entry/web/plain.go
+++ b/entry/web/plain.go
@@ -41,8 +41,9 @@
 			q.refuse(q.unavailableRefusal(err))
 			return
 		}
-		s := q.sendTo(u, q.need, Forwarding{}, q.attemptTimeout(), false)
+		s := q.sendHedged(u)
 		q.recordAttempt(s)
+		q.recordTime(s)
 		responded := s.err == nil && !s.notRun()
 		if responded && (s.response.StatusCode() < fasthttp.StatusInternalServerError || !q.idempotent()) {
 			if last != nil {
@@ -68,7 +69,7 @@
 			return
 		}
 		if len(q.need.Exclude) < q.otherUpstreams() {
-			q.need.Exclude = append(q.need.Exclude, u.ID)
+			q.need.Exclude = append(q.need.Exclude, s.upstream.ID)
 		} else if q.successor == nil && s.notRun() && !q.pauseBeforeResend(attempts) {
 			q.finishFailed(last)
 			return
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -41,6 +41,10 @@
 	// is about to take over.
 	search    *search
 	successor *successor
+	// hedge is the copy that another upstream may get while the first has not responded, nil for none. isCopy is set in the
+	// copy.
+	hedge  *hedgedCopy
+	isCopy bool
 	// generation is the current generation on a decode engine; its ID is 0 without one.
 	generation place.Generation
 
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -17,6 +17,7 @@
 	"azuredoor.example/entry/conn"
 	"azuredoor.example/entry/control"
 	"azuredoor.example/entry/coordinator"
+	"azuredoor.example/entry/hedge"
 	"azuredoor.example/entry/http1"
 	"azuredoor.example/entry/order"
 	"azuredoor.example/entry/place"
@@ -67,7 +68,12 @@
 	RetryPercent float64
 	// RetryFloor is the number of further retries that the whole fleet may make in retry.Window.
 	RetryFloor int
-	Metrics    *metric.Requests
+	// HedgePercent is the share of a plain service's repeatable requests that may be sent to a second upstream before the
+	// first has responded, in percent; 0 for none. These count as retries as well.
+	HedgePercent float64
+	// Hedged, if set, is called for each request that was sent to a second upstream, with whether that one's response counted.
+	Hedged  func(won bool)
+	Metrics *metric.Requests
 	// Guard holds the quarantined prompt parts. The default is an empty guard.
 	Guard  *quarantine.Guard
 	Events *event.Logger
@@ -82,6 +88,8 @@
 	mu      sync.Mutex
 	table   *place.Table
 	budgets map[string]*retry.Budget
+	// hedges decides, by service, when a request is sent to a second upstream.
+	hedges map[string]*hedge.Policy
 	// demands is the resource demand of an average generation, by service.
 	demands map[string]*place.Demand
 	// retryEstimators holds, by service, the estimator of when callers that were refused for lack of capacity retry.
@@ -115,7 +123,7 @@
 		c.Guard = quarantine.NewGuard()
 	}
 	return &Router{
-		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{},
+		config: c, table: place.NewTable(rand.IntN(1 << 16)), budgets: map[string]*retry.Budget{}, hedges: map[string]*hedge.Policy{},
 		retryEstimators: map[string]*place.RetryEstimator{}, demands: map[string]*place.Demand{},
 		longestPatience: map[string]time.Duration{}, generations: newGenerations(), reservations: newReservationIDs(), changed: make(chan struct{}), entryCount: 1, started: time.Now(),
 	}
--- a/entry/web/send.go
+++ b/entry/web/send.go
@@ -36,6 +36,8 @@
 	events       int
 	started      bool
 	err          error
+	// copy is set if the attempt was a copy of a running one.
+	copy bool
 }
 
 // upstreamRequest builds the request for an upstream from the caller's request.
@@ -52,7 +54,7 @@
 
 // sendTo sends the request to the upstream and reads the response, or only its header if stream is set.
 func (q *request) sendTo(u place.Upstream, need place.Need, f Forwarding, firstByteTimeout time.Duration, stream bool) *attempt {
-	s := &attempt{upstream: u, need: need, began: time.Now(), response: fasthttp.AcquireResponse(), prefill: f.Prefill}
+	s := &attempt{upstream: u, need: need, began: time.Now(), response: fasthttp.AcquireResponse(), prefill: f.Prefill, copy: q.isCopy}
 	if q.router.restricted(u.ID, u.Incarnation) || !q.router.maySend(u) {
 		s.outcome, s.err = place.Cancelled, &conn.Error{Address: u.Address, Err: errRestricted}
 		return s
@@ -107,7 +109,7 @@
 			s.outcome = place.Broken
 		case errors.Is(context.Cause(q.x.Context), http1.ErrCallerGone):
 			s.outcome = place.Cancelled
-		case errors.Is(s.err, conn.ErrLimit):
+		case errors.Is(s.err, conn.ErrLimit), errors.Is(context.Cause(q.ctx), errHedged):
 			s.outcome = place.Cancelled
 		case !s.written:
 			s.outcome = place.Unreachable
--- a/entry/web/silence.go
+++ b/entry/web/silence.go
@@ -40,13 +40,17 @@
 	if s.prefill {
 		return func() time.Time { return q.onSilentPrefill(s) }
 	}
-	if !q.mayBeRepeated() {
+	if !q.mayBeRepeated() || q.isCopy {
 		return nil
 	}
 	return func() time.Time {
 		if q.ctx.Err() != nil {
 			return time.Time{}
 		}
+		if q.hedge.close() {
+			q.trace.silentChecks++
+			return time.Now().Add(retry.Silence{Checks: q.trace.silentChecks}.Recheck())
+		}
 		silence := retry.Silence{
 			Repeatable: q.idempotent() && !q.positionUnknown, Runs: q.possibleRuns + 1, MaxRuns: q.route.MaxAttempts,
 			Checks: q.trace.silentChecks,
--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -50,6 +50,9 @@
 	if s.need.Role != "" {
 		b.WriteString("/" + s.need.Role)
 	}
+	if s.copy {
+		b.WriteString(" copy")
+	}
 	b.WriteString(" " + s.outcome.String())
 	if s.response != nil && s.err == nil {
 		b.WriteString(" " + strconv.Itoa(s.response.StatusCode()))
@@ -94,6 +97,7 @@
 	}
 	q.endSearch()
 	q.dropSuccessor()
+	q.endHedge()
 	q.refund()
 	outcome := "ok"
 	switch status := q.x.Status(); {
