Test of evacuations: load both failure domains

TestEvacuationOutlivesProcesses failed in its first run, before any evacuation: it sent one request at a time and waited for the second failure domain to be used, but an idle upstream in the entry's own failure domain is always preferred. It now sends six at once, at upstreams that take 30 ms; what it checks afterwards is unchanged.

--- a/itest/evacuation_test.go
+++ b/itest/evacuation_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"azuredoor.example/platform/standin"
 )
 
@@ -65,20 +68,34 @@
 	t.Parallel()
 	p := startPlatform(t)
 	journal := standin.NewJournal()
-	p.startUpstreamIn("a", time.Millisecond, journal)
-	p.startUpstreamIn("b", time.Millisecond, journal)
-	n := 0
+	p.startUpstreamIn("a", 30*time.Millisecond, journal)
+	p.startUpstreamIn("b", 30*time.Millisecond, journal)
+	var n atomic.Int64
 	send := func() standin.Response {
-		n++
 		var c standin.Caller
 		defer c.Close()
-		return c.Do(p.entryAddress(), standin.Call{ID: fmt.Sprint("r", n), Path: standin.SafePath, Key: platformKey})
+		return c.Do(p.entryAddress(), standin.Call{ID: fmt.Sprint("r", n.Add(1)), Path: standin.SafePath, Key: platformKey})
 	}
-	seen := map[string]bool{}
-	p.await("requests at both upstreams", func() bool {
-		seen[send().Upstream] = true
-		return seen["u-a"] && seen["u-b"]
-	})
+	// The entry prefers its own failure domain unless the upstream there has more to do.
+	bothServe := func() bool {
+		var group errgroup.Group
+		var atA, atB atomic.Bool
+		for range 6 {
+			group.Go(func() error {
+				upstream := send().Upstream
+				if upstream == "u-a" {
+					atA.Store(true)
+				}
+				if upstream == "u-b" {
+					atB.Store(true)
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+		return atA.Load() && atB.Load()
+	}
+	p.await("requests at both upstreams", bothServe)
 	p.order(0, "a", false)
 	p.order(1, "a", false)
 	p.await("the entry to know", func() bool {
@@ -94,7 +111,7 @@
 	}
 	for range 40 {
 		if got := send(); got.Upstream == "u-a" {
-			t.Errorf("request %d: ran in the evacuated failure domain", n)
+			t.Errorf("request %d: ran in the evacuated failure domain", n.Load())
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -102,11 +119,7 @@
 	p.await("a refusal, as nothing is left", func() bool { return send().Status == 503 })
 	p.order(0, "a", true)
 	p.order(1, "b", true)
-	clear(seen)
-	p.await("requests at both upstreams again", func() bool {
-		seen[send().Upstream] = true
-		return seen["u-a"] && seen["u-b"]
-	})
+	p.await("requests at both upstreams again", bothServe)
 	if acknowledged, refusal := standin.Evacuate(t.Context(), p.controlAddresses()[0], "nowhere", false); acknowledged || refusal == "" {
 		t.Errorf("unknown failure domain: got %v, %q, want a refusal", acknowledged, refusal)
 	}
