--- a/entry/web/hedge.go
+++ b/entry/web/hedge.go
@@ -73,7 +73,7 @@
 
 // hedgeDelay returns after what time a copy may be sent, and false for no copy. Only the first attempt has one.
 func (q *request) hedgeDelay() (time.Duration, bool) {
-	if q.router.config.HedgePercent <= 0 || !q.idempotent() || q.writtenAttempts > 0 || q.successor != nil {
+	if q.router.config.HedgePercent <= 0 || !q.mayBeRepeated() || q.writtenAttempts > 0 || q.successor != nil {
 		return 0, false
 	}
 	now := time.Now()
@@ -82,7 +82,7 @@
 	p := q.router.hedgePolicy(q.service)
 	p.CountRequest(now)
 	delay, ok := p.Delay(now)
-	return delay, ok && q.mayBeRepeated() && delay < q.attemptTimeout() && retry.InTime(now, q.deadline, delay)
+	return delay, ok && delay < q.attemptTimeout() && retry.InTime(now, q.deadline, delay)
 }
 
 // hedgePolicy returns the policy of a service. The caller must hold r.mu.
