Operators' API: a code of its own for a call that found no memory

A body for which there was no memory was refused with the code notLeader, so that operators were told to look for a leader. It is "busy" now; azuredoorctl still says that no change was made, because the call was not read. The new case of the command tests fails without the change of the client ("the outcome is unknown").

--- a/control/admin/problem.go
+++ b/control/admin/problem.go
@@ -99,7 +99,7 @@
 	case errors.Is(err, budget.ErrTooLarge):
 		c.fail(problem{status: fasthttp.StatusRequestEntityTooLarge, code: "invalid", message: "the body is too large"})
 	case errors.Is(err, budget.ErrFull), lease.Evicted():
-		c.fail(problem{status: fasthttp.StatusServiceUnavailable, code: "notLeader", message: "too much is being received"})
+		c.fail(problem{status: fasthttp.StatusServiceUnavailable, code: "busy", message: "too much is being received"})
 	default:
 		c.fail(invalid("", "the body could not be read"))
 	}
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -124,7 +124,7 @@
 func outcomeUnknown(err error) bool {
 	var refusal *Error
 	if errors.As(err, &refusal) {
-		return refusal.Code != "notLeader"
+		return refusal.Code != "notLeader" && refusal.Code != "busy"
 	}
 	var network *net.OpError
 	return !errors.As(err, &network) || network.Op != "dial"
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -99,6 +99,7 @@
 		{"token", cannedResponse{401, `{"error":{"code":"unauthorized","message":"wrong token"}}`, false}, []string{"status"}, 1, "-token-file"},
 		{"unknown outcome", cannedResponse{503, `{"error":{"code":"timeout","message":"no majority"}}`, false}, []string{"delete", "pool", "e"}, 5, "outcome is unknown"},
 		{"no change made", cannedResponse{503, `{"error":{"code":"notLeader","message":"no leader"}}`, false}, []string{"delete", "pool", "e"}, 5, "No change was made"},
+		{"no memory for the call", cannedResponse{503, `{"error":{"code":"busy","message":"too much is being received"}}`, false}, []string{"delete", "pool", "e"}, 5, "No change was made"},
 		{"lost response", cannedResponse{disconnect: true}, []string{"delete", "pool", "e"}, 5, "outcome is unknown"},
 		{"no command", cannedResponse{}, nil, 2, "command is missing"},
 		{"wrong command", cannedResponse{}, []string{"upstream", "kick", "e1"}, 2, "unknown command"},
