Read as a newcomer: split, rename and explain

entry/place: what concerns evacuations has left the file on cold upstreams; the check of a cold upstream that also counts what the entry wants says so in its name; the conditions for a copy's upstream have a function. The crowd tests take the head of a request from platform/standin, so that the platform's names stay there, and send the same fields in the same order. No behaviour changes.

--- a/entry/place/cold.go
+++ b/entry/place/cold.go
@@ -108,8 +108,9 @@
 	until time.Time
 }
 
-// may reports whether the entry may send a request to the cold upstream now. If not, it wants to.
-func (c *coldShare) may(now time.Time, u Upstream) bool {
+// mayOrWant reports whether the entry may send a request to the cold upstream now. If not, it counts the request among those that it
+// asks the coordinator for.
+func (c *coldShare) mayOrWant(now time.Time, u Upstream) bool {
 	if g := c.granted[u.ID]; g.Incarnation == u.Incarnation && g.Requests > 0 && now.Before(g.until) {
 		return true
 	}
@@ -155,13 +156,6 @@
 	}
 }
 
-// MaySend reports whether a request may still be sent to the upstream that was chosen for it: its failure domain is not evacuated, and
-// it is warm or the request is counted.
-func (t *Table) MaySend(now time.Time, u Upstream) bool {
-	s := t.states[u.ID]
-	return s == nil || s.Incarnation != u.Incarnation || !s.Evacuated && (!s.cold(now) || now.Before(u.GrantedUntil))
-}
-
 // maxStatedCold bounds how long an upstream says in a response that it stays cold, so that a garbled time does not take it out for good.
 const maxStatedCold = time.Minute
 
@@ -178,17 +172,6 @@
 	return s != nil && s.Incarnation == u.Incarnation && s.cold(now)
 }
 
-// RunningEvacuated returns how many requests of this entry still run in each evacuated failure domain.
-func (t *Table) RunningEvacuated() map[string]int {
-	running := map[string]int{}
-	for _, s := range t.states {
-		if s.Evacuated && s.ownRequests > 0 {
-			running[s.FailureDomain] += s.ownRequests
-		}
-	}
-	return running
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -346,6 +346,18 @@
 	return u, true
 }
 
+// spare reports whether the upstream may take such a request and has at least half of its slots free.
+func (s *state) spare(now time.Time, need Need) bool {
+	if slices.Contains(need.Exclude, s.ID) || !need.allows(s.Region) || s.leaving() || !s.Announcing || s.restricted(now) {
+		return false
+	}
+	if s.tier(now) > 0 || s.cold(now) || s.full(need.Work) || now.Before(s.fullUntil) {
+		return false
+	}
+	_, requests := s.totalLoad()
+	return s.Slots == 0 || 2*requests <= s.Slots
+}
+
 // PickSpare chooses an upstream for a copy of a request that runs on another one, and reports whether there is one with
 // room for it: one that no entry has ejected, that is not cold, that has fewer requests than the other one and uses at most
 // half of its slots.
@@ -357,13 +369,12 @@
 	var spare *state
 	for i := range t.ids {
 		s := t.states[t.ids[(i+t.rotation)%len(t.ids)]]
-		_, requests := s.totalLoad()
-		if s.Service != need.Service || s.Role != need.Role || s.ID == other.ID || slices.Contains(need.Exclude, s.ID) || !need.allows(s.Region) ||
-			s.leaving() || !s.Announcing || s.restricted(now) || s.cold(now) || s.tier(now) > 0 || s.full(need.Work) || now.Before(s.fullUntil) ||
-			s.Slots > 0 && 2*requests > s.Slots || requests >= running {
+		if s.ID == other.ID || s.Service != need.Service || s.Role != need.Role || !s.spare(now, need) {
 			continue
 		}
-		spare, running = s, requests
+		if _, requests := s.totalLoad(); requests < running {
+			spare, running = s, requests
+		}
 	}
 	if spare == nil {
 		return Upstream{}, false
@@ -407,7 +418,7 @@
 				continue
 			}
 			accepting++
-			if s.full(need.Work) || now.Before(s.fullUntil) || s.cold(now) && !t.cold.may(now, s.Upstream) {
+			if s.full(need.Work) || now.Before(s.fullUntil) || s.cold(now) && !t.cold.mayOrWant(now, s.Upstream) {
 				continue
 			}
 			candidates = append(candidates, s)
--- a/itest/control_test.go
+++ b/itest/control_test.go
@@ -92,8 +92,8 @@
 	return weights
 }
 
-// TestAcknowledgedChangesSurviveKills guards against the loss of an acknowledged change when control members are killed at
-// arbitrary times, one after the other and all at once (invariant I10).
+// TestAcknowledgedChangesSurviveKills guards against the loss of an acknowledged change when control members are killed
+// at any moment, one after the other and all at once (invariant I10).
 func TestAcknowledgedChangesSurviveKills(t *testing.T) {
 	t.Parallel()
 	b := startFleet(t)
--- a/itest/crowd_test.go
+++ b/itest/crowd_test.go
@@ -40,8 +40,7 @@
 type behaviour func(c net.Conn, i int) error
 
 func head(method, path string, i int, fields ...string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: crowd-%d\r\nDeadline-Milliseconds: 6000\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n",
-		method, path, standin.Host, i, platformKey, strings.Join(fields, "\r\n"))
+	return standin.RequestHead(method, path, fmt.Sprint("crowd-", i), platformKey, fields...)
 }
 
 // endless writes the text again and again until the connection breaks.
