Log when the leader has not confirmed an entry's configuration

The lines of requests had the age of the view, but nothing told why a view was late: a leader that does not answer looks the same as a watch stream that is behind, or that is begun again and again.

The bytes are counted on each connection, which hides the socket from grpc-go; fleetrpc sets TCP_USER_TIMEOUT on wrapped connections itself.

--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -35,6 +35,8 @@
 	LimitsConfirmed
 	EvacuationApplied
 	MemoryShort
+	ViewUnconfirmed
+	ViewConfirmed
 )
 
 var entryEvents = map[ID]Description{
@@ -68,5 +70,7 @@
 	PartReleased:        {log.InfoLevel, "requests with a part of prompts are no longer refused"},
 	LimitsConfirmed:     {log.InfoLevel, "a coordinator confirms what is left of customers' limits, or none does any more"},
 	MemoryShort:         {log.WarnLevel, "callers that hold much and move little lost their memory to others"},
+	ViewUnconfirmed:     {log.WarnLevel, "the leader has not confirmed this entry's configuration for long"},
+	ViewConfirmed:       {log.InfoLevel, "the leader confirms this entry's configuration again"},
 	EvacuationApplied:   {log.InfoLevel, "this entry knows an order on a failure domain's evacuation"},
 }
--- a/core/fleetrpc/fleetrpc.go
+++ b/core/fleetrpc/fleetrpc.go
@@ -5,10 +5,12 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -80,7 +82,7 @@
 	// Source is the local IP address of connections; empty leaves the choice to the system. On a VM with several
 	// addresses, Source makes other processes see the address from the settings.
 	Source string
-	// Wrap, if set, wraps each new connection, for example to count the bytes in measurements.
+	// Wrap, if set, wraps each new connection, for example to count its bytes.
 	Wrap func(net.Conn) net.Conn
 }
 
@@ -98,10 +100,14 @@
 			if err != nil {
 				return nil, err //nolint:wrapcheck // grpc-go adds the address
 			}
-			if d.Wrap != nil {
-				conn = d.Wrap(conn)
+			if d.Wrap == nil {
+				return conn, nil
 			}
-			return conn, nil
+			// grpc-go sets the timeout only on a connection that is not wrapped.
+			if err := setUserTimeout(conn, pingTimeout); err != nil {
+				return nil, errors.Join(err, conn.Close())
+			}
+			return d.Wrap(conn), nil
 		}),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithPerRPCCredentials(secretCredentials(d.Secret)),
@@ -118,6 +124,25 @@
 	return conn, nil
 }
 
+// setUserTimeout sets the time after which the kernel ends a connection whose peer does not acknowledge what was sent.
+func setUserTimeout(conn net.Conn, timeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return eris.Wrap(err, "access the socket")
+	}
+	var setErr error
+	if err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
+	}); err != nil {
+		return eris.Wrap(err, "access the socket")
+	}
+	return eris.Wrap(setErr, "set the timeout of unacknowledged data")
+}
+
 // secretCredentials sends the fleet secret with each call.
 type secretCredentials string
 
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -39,6 +39,8 @@
 	// KeepaliveInterval defaults to 500 ms and FreshnessBound to 3 s, as the design specifies. A FreshnessBound above
 	// the session TTL lengthens only the freshness of the view, not the session.
 	KeepaliveInterval, FreshnessBound time.Duration
+	// ReportAge is the age of the view from which an event reports it; it defaults to FreshnessBound.
+	ReportAge time.Duration
 }
 
 const (
@@ -67,6 +69,8 @@
 	mu sync.Mutex
 	// pendingProofs holds the proofs whose state index the view has not reached.
 	pendingProofs []proof
+	// answeredAt is the send time, as time since boot, of the newest keepalive that was answered.
+	answeredAt time.Duration
 	// heartbeats maps each upstream that has announced itself since the last keepalive to its incarnation.
 	heartbeats     map[string]uint64
 	changeHandlers []func(*View)
@@ -86,6 +90,9 @@
 	if c.FreshnessBound == 0 {
 		c.FreshnessBound = defaultFreshnessBound
 	}
+	if c.ReportAge == 0 {
+		c.ReportAge = c.FreshnessBound
+	}
 	client := &Client{config: c, members: newMembers(c.Members, c.Dialer), heartbeats: map[string]uint64{}}
 	client.view.Store(&View{
 		Config: config.NewSet(), Sessions: map[uint64]*fleetpb.Session{}, Upstreams: map[string]*fleetpb.Upstream{},
@@ -153,6 +160,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.maintainSession(ctx) })
 	group.Go(func() error { return c.maintainWatch(ctx) })
+	group.Go(func() error { return c.reportAge(ctx) })
 	return group.Wait()
 }
 
@@ -258,6 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pendingProofs = append(c.pendingProofs, p)
+	c.answeredAt = max(c.answeredAt, p.sentAt)
 	c.applyProofs(c.View().Index)
 }
 
--- /dev/null
+++ b/entry/control/connection.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"net"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+
+	"azuredoor.example/core/fleetrpc"
+)
+
+// connection is a connection to a control member.
+type connection struct {
+	*grpc.ClientConn
+	// received is the number of bytes that arrived, over all reconnections.
+	received atomic.Int64
+}
+
+func dial(dialer fleetrpc.Dialer, address string) (*connection, error) {
+	conn, wrap := &connection{}, dialer.Wrap
+	dialer.Wrap = func(c net.Conn) net.Conn {
+		if wrap != nil {
+			c = wrap(c)
+		}
+		return &countedConn{Conn: c, received: &conn.received}
+	}
+	var err error
+	if conn.ClientConn, err = dialer.Dial(address); err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// countedConn counts the bytes that it reads.
+type countedConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err //nolint:wrapcheck // callers compare the errors of connections
+}
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -21,7 +20,7 @@
 
 	mu        sync.Mutex
 	addresses []string
-	conns     map[string]*grpc.ClientConn
+	conns     map[string]*connection
 	// leader is the address of the presumed leader, which unary calls try first.
 	leader string
 }
@@ -29,22 +28,34 @@
 func newMembers(addresses []string, dialer fleetrpc.Dialer) *members {
 	return &members{
 		dialer: dialer, addresses: addresses, leader: addresses[0],
-		conns: map[string]*grpc.ClientConn{},
+		conns: map[string]*connection{},
 	}
 }
 
-func (m *members) clientFor(address string) (fleetpb.FleetClient, error) {
+// connectionTo returns the connection to an address.
+func (m *members) connectionTo(address string) (*connection, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	conn, ok := m.conns[address]
 	if !ok {
 		var err error
-		if conn, err = m.dialer.Dial(address); err != nil {
+		if conn, err = dial(m.dialer, address); err != nil {
 			return nil, err
 		}
 		m.conns[address] = conn
 	}
-	return fleetpb.NewFleetClient(conn), nil
+	return conn, nil
+}
+
+// received returns the number of bytes that the present connections have received.
+func (m *members) received() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var sum int64
+	for _, conn := range m.conns {
+		sum += conn.received.Load()
+	}
+	return sum
 }
 
 // closeConnection closes a connection whose calls time out, so that the next call opens a new one. A stalled connection
@@ -161,13 +172,13 @@
 }
 
 func (m *members) callMember(ctx context.Context, address string, do func(context.Context, fleetpb.FleetClient) error) error {
-	client, err := m.clientFor(address)
+	conn, err := m.connectionTo(address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return do(ctx, client)
+	return do(ctx, fleetpb.NewFleetClient(conn))
 }
 
 // classifyError reports whether a failed call may succeed on another member, and returns the leader's address if the
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -44,7 +44,7 @@
 }
 
 func (c *Client) watch(ctx context.Context, address string) error {
-	client, err := c.members.clientFor(address)
+	conn, err := c.members.connectionTo(address)
 	if err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 	defer cancel()
 	timeout := time.AfterFunc(watchTimeout, cancel)
 	defer timeout.Stop()
-	stream, err := client.Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index})
+	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index})
 	if err != nil {
 		return eris.Wrap(err, "open watch stream")
 	}
