Watch stream: a large change that is arriving is not begun again

Callers of entries with slow links were served by an old configuration, and refused on routes that it lacks, for as long as the newer one took over 2 s to arrive: a watch stream without a complete event for 2 s was ended whatever had arrived, and the next stream began the same event again. A keepalive answered later than 0.7 s, behind the same bytes, closed the connection of the stream too. So the change never arrived.

Class: the progress of a peer is judged by complete messages, with a bound that does not grow with their size.

Now a stream ends only if less than 4 KiB has arrived in 2 s, a late call closes its connection only if nothing has arrived on it meanwhile, and otherwise gets up to four times the time.

TestLargeChangeArrivesOverSlowLink (600 KiB at 200 KiB/s) failed before: no view after 9.0 s, three times the duration of the transfer.

--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -144,21 +144,29 @@
 }
 
 const (
-	// attemptTimeout bounds one attempt on one member, so that a stalled connection uses up little of a lease.
-	attemptTimeout = 700 * time.Millisecond
-	retryPause     = 30 * time.Millisecond
+	// attemptTimeout bounds one attempt on one member, so that a stalled connection uses up little of a lease. It doubles up to
+	// maxAttemptTimeout while responses are late on connections on which bytes arrive.
+	attemptTimeout    = 700 * time.Millisecond
+	maxAttemptTimeout = 4 * attemptTimeout
+	retryPause        = 30 * time.Millisecond
 )
 
 // call makes a call to the presumed leader and retries on other members until the context ends. The call must be
 // idempotent.
 func (m *members) call(ctx context.Context, do func(ctx context.Context, client fleetpb.FleetClient) error) error {
+	timeout := attemptTimeout
 	for {
 		address := m.currentLeader()
-		err := m.callMember(ctx, address, do)
+		silent, err := m.callMember(ctx, address, timeout, do)
 		if err == nil {
 			return nil
 		}
-		hint, retry := m.classifyError(address, err)
+		if status.Code(err) == codes.DeadlineExceeded && silent {
+			m.closeConnection(address)
+		} else if status.Code(err) == codes.DeadlineExceeded {
+			timeout = min(2*timeout, maxAttemptTimeout)
+		}
+		hint, retry := classifyError(err)
 		if !retry {
 			return err
 		}
@@ -171,19 +179,22 @@
 	}
 }
 
-func (m *members) callMember(ctx context.Context, address string, do func(context.Context, fleetpb.FleetClient) error) error {
+// callMember makes one attempt. It reports whether nothing arrived on the connection meanwhile.
+func (m *members) callMember(ctx context.Context, address string, timeout time.Duration, do func(context.Context, fleetpb.FleetClient) error) (silent bool, err error) {
 	conn, err := m.connectionTo(address)
 	if err != nil {
-		return err
+		return true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return do(ctx, fleetpb.NewFleetClient(conn))
+	before := conn.received.Load()
+	err = do(ctx, fleetpb.NewFleetClient(conn))
+	return conn.received.Load() == before, err
 }
 
 // classifyError reports whether a failed call may succeed on another member, and returns the leader's address if the
-// error contains it. It closes the connection if the call timed out.
-func (m *members) classifyError(address string, err error) (hint string, retry bool) {
+// error contains it.
+func classifyError(err error) (hint string, retry bool) {
 	state, ok := status.FromError(err)
 	if !ok {
 		return "", true
@@ -196,10 +207,7 @@
 			}
 		}
 		return "", true
-	case codes.DeadlineExceeded:
-		m.closeConnection(address)
-		return "", true
-	case codes.Unavailable, codes.Aborted, codes.Canceled, codes.Internal, codes.Unknown:
+	case codes.DeadlineExceeded, codes.Unavailable, codes.Aborted, codes.Canceled, codes.Internal, codes.Unknown:
 		return "", true
 	default:
 		return "", false
--- /dev/null
+++ b/entry/control/slow_test.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"azuredoor.example/core/event"
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/fleetrpc"
+)
+
+// largeState is a member that sends its whole state to each watcher that lacks it, and heartbeats.
+type largeState struct {
+	fakeMember
+	state *fleetpb.WatchEvent
+}
+
+// Watch implements fleetpb.FleetServer.
+func (m *largeState) Watch(request *fleetpb.WatchRequest, stream fleetpb.Fleet_WatchServer) error {
+	e := &fleetpb.WatchEvent{Index: m.state.Index}
+	if request.AfterIndex < m.state.Index {
+		e = m.state
+	}
+	for {
+		if err := stream.Send(e); err != nil {
+			return err
+		}
+		e = &fleetpb.WatchEvent{Index: m.state.Index}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// startSlowLink forwards connections to target, with a bound on the bytes per second towards the client, and returns its address.
+func startSlowLink(t *testing.T, target string, bytesPerSecond int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				client.Close()
+				continue
+			}
+			group.Go(func() error {
+				defer server.Close()
+				_, _ = io.Copy(server, client)
+				return nil
+			})
+			group.Go(func() error {
+				defer client.Close()
+				const pieces = 20
+				for {
+					if _, err := io.CopyN(client, server, int64(bytesPerSecond/pieces)); err != nil {
+						return nil
+					}
+					time.Sleep(time.Second / pieces)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		_ = group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// TestLargeChangeArrivesOverSlowLink guards against a watch stream that is ended, and begun again, while a change is arriving.
+func TestLargeChangeArrivesOverSlowLink(t *testing.T) {
+	const size, speed = 600 << 10, 200 << 10
+	member := &largeState{state: &fleetpb.WatchEvent{
+		Reset_: true, Index: 7, Sessions: []*fleetpb.Session{{Id: 1, Name: strings.Repeat("x", size)}},
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := fleetrpc.NewServer(testSecret, event.Discard())
+	fleetpb.RegisterFleetServer(server, member)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	t.Cleanup(func() {
+		server.Stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	client := startClient(t, startSlowLink(t, listener.Addr().String(), speed))
+	began := time.Now()
+	for client.View().Index != 7 {
+		if time.Since(began) > 3*time.Second*size/speed {
+			t.Fatalf("after %v: got a view at index %d, want 7 within three times the duration of the transfer", time.Since(began), client.View().Index)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// watchTimeout ends a stream without events; the server sends an event at least every 500 ms.
+	// watchTimeout ends a stream without events, unless one is arriving; the server sends an event at least every 500 ms.
 	watchTimeout = 2 * time.Second
+	// minEventProgress is the number of bytes within watchTimeout from which an event is taken to be arriving. Responses to keepalives
+	// on the same connection stay below it.
+	minEventProgress = 4 << 10
 	// maxWatchLag ends a stream whose member lags behind the leader.
 	maxWatchLag     = time.Second
 	watchRetryPause = 100 * time.Millisecond
@@ -50,7 +53,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := time.AfterFunc(watchTimeout, cancel)
+	progress := &eventProgress{received: conn.received.Load()}
+	timeout := newWatchTimer(func() bool { return progress.stopped(conn.received.Load()) }, cancel)
 	defer timeout.Stop()
 	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index})
 	if err != nil {
@@ -75,6 +79,35 @@
 	}
 }
 
+// eventProgress tells an event that takes long to arrive from a stream that has stopped.
+type eventProgress struct {
+	// received is the number of bytes that the connection had received at the last check.
+	received int64
+}
+
+// stopped reports whether too few bytes for an event have arrived since the last check.
+func (p *eventProgress) stopped(received int64) bool {
+	arrived := received - p.received
+	p.received = received
+	return arrived < minEventProgress
+}
+
+// newWatchTimer returns a timer that calls end once it has not been reset for watchTimeout and stopped returns true.
+func newWatchTimer(stopped func() bool, end func()) *time.Timer {
+	var timer *time.Timer
+	ready := make(chan struct{})
+	defer close(ready)
+	timer = time.AfterFunc(watchTimeout, func() {
+		<-ready
+		if stopped() {
+			end()
+		} else {
+			timer.Reset(watchTimeout)
+		}
+	})
+	return timer
+}
+
 // handleEvent replaces the view with the next one. It returns an error if the event has an older index than the view.
 func (c *Client) handleEvent(e *fleetpb.WatchEvent) error {
 	current := c.View()
