Refuse for good only by a configuration that is confirmed to be current

Callers of a route or with a key that had been added got 404 or 401, after which they do not try again, from entries whose configuration had not been confirmed for longer than changes take to be in force everywhere. Entries judged the age of their view by the revocation bound alone (4.3 s with the settings of today); the propagation bound (2 to 2.5 s) was no setting at all. The age was also read after the view, so that an older document could count as just confirmed while the next one was being applied.

Class: a final answer that follows from missing knowledge, given by a process that may be behind. The OpenAI interface had it without any bound: its 401 and 404 came before the check of freshness.

Now an entry answers 404 or 401 only by a view that was confirmed within the propagation bound (-propagation, from the platform's settings) less 100 ms for the rates of clocks: what was acknowledged before a request was sent is then in the view, whatever made the view late. Otherwise it answers 503, not run, with Retry-After. Requests on known routes with known keys are served as before.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -114,6 +114,7 @@
 	s.handler = Chain(s.dispatch,
 		s.ids,
 		&headerLimits{maxHeaders: options.MaxHeaders},
+		&confirmation{control: options.Control},
 		&pathRouter{control: options.Control},
 		&authenticator{},
 		&bodyReceiver{memory: options.Memory, maxBytes: options.MaxBodyBytes},
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -58,6 +58,8 @@
 	Grace time.Duration
 	// Revocation is the time after which a withdrawn key must not work anywhere.
 	Revocation time.Duration
+	// Propagation is the time after which an acknowledged configuration must be in force everywhere.
+	Propagation time.Duration
 	// RetryRatio is the share of a service's requests that may be retried.
 	RetryRatio float64
 	// HedgeRatio is the share of a plain service's repeatable requests that may run on a second upstream at once.
@@ -103,6 +105,8 @@
 		"time between a stop signal and the end of the process")
 	s.Period(&c.Revocation, "revocation", 5*time.Second, time.Second, time.Hour,
 		"time after which a withdrawn key must not work")
+	s.Period(&c.Propagation, "propagation", 2*time.Second, 500*time.Millisecond, time.Hour,
+		"time after which an acknowledged configuration must be in force")
 	s.Float64Var(&c.RetryRatio, "retry-ratio", 0.1, "share of a service's requests that may be sent again")
 	s.Float64Var(&c.HedgeRatio, "hedge-ratio", 0, "share of a plain service's repeatable requests that may be sent to a second upstream before the first responds")
 	s.Count(&c.RetrySlack, "retry-slack", 40, 0, 1_000_000, "how many more may be sent again in 10 s")
@@ -179,6 +183,8 @@
 	// revocationMargin is subtracted from the revocation time, because a request with a withdrawn key may already be on
 	// its way to an upstream.
 	revocationMargin = 700 * time.Millisecond
+	// propagationMargin is subtracted from the propagation time for the difference of clocks' rates.
+	propagationMargin = 100 * time.Millisecond
 	// retryBudgetShare is the share of the retry budget that the fleet uses; the rest covers retries that restarted
 	// entries no longer count.
 	retryBudgetShare = 0.7
@@ -306,7 +312,7 @@
 	e.fleet = control.New(control.Config{
 		Name: c.Name, PeerAddress: net.JoinHostPort(c.IP, port), FailureDomain: c.FailureDomain, Region: c.Region,
 		Members: addresses, Reseed: func() []string { return *e.addresses.Load() }, Decode: c.Decode, Dialer: dialer,
-		Events: events, FreshnessBound: freshnessBound, Regions: c.FailureDomains, Running: func() map[string]int { return e.runningEvacuated(evacuated.Update) },
+		Events: events, FreshnessBound: freshnessBound, ReportAge: c.Propagation, Regions: c.FailureDomains, Running: func() map[string]int { return e.runningEvacuated(evacuated.Update) },
 	})
 	e.coordinator = coordinator.New(e.fleet)
 	guard, quarantined := quarantine.NewGuard(), e.metrics.Gauge("quarantined_parts")
@@ -325,7 +331,7 @@
 	e.pool = conn.NewPool(options)
 	e.router = web.New(web.Config{
 		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
-		FreshFor: freshnessBound, Grace: c.Grace - stopMargin,
+		FreshFor: freshnessBound, CurrentFor: min(freshnessBound, c.Propagation-propagationMargin), Grace: c.Grace - stopMargin,
 		RetryPercent: c.RetryRatio * retryBudgetShare * 100, RetryFloor: int(float64(c.RetrySlack) * retryBudgetShare),
 		HedgePercent: c.HedgeRatio * 100, Hedged: e.countHedge,
 		Metrics: metric.NewRequests(e.metrics.Scope), Guard: guard, Events: events, Background: &e.background,
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -25,7 +25,7 @@
 	cancel context.CancelFunc
 
 	document *document.Document
-	// viewAge is the age of the view when the document was looked up.
+	// viewAge is the age of the view when the document was looked up, or more.
 	viewAge  time.Duration
 	route    *document.Route
 	customer *document.Customer
@@ -104,16 +104,16 @@
 )
 
 func (q *request) findDocument() *refusal {
-	q.document = q.router.config.Control.View().Document
+	// The age is read first, so that it is never that of a newer view.
 	q.viewAge = q.router.config.Control.Age()
+	q.document = q.router.config.Control.View().Document
 	if q.document == nil {
 		return &refusal{fasthttp.StatusServiceUnavailable, "this entry has no configuration yet", q.router.startupRetryAfter()}
 	}
 	return nil
 }
 
-// findRoute sets the route, or refuses a request that matches none. If the view is stale, the route may have been added
-// since, so the refusal is a 503 instead of a 404.
+// findRoute sets the route, or refuses a request that matches none.
 func (q *request) findRoute() *refusal {
 	h := &q.x.Request.Header
 	path := string(h.RequestURI())
@@ -126,10 +126,16 @@
 	if q.route = q.document.Route(string(h.Host()), path); q.route != nil {
 		return nil
 	}
-	if q.viewAge > q.router.config.FreshFor {
+	return q.unknownRefusal(fasthttp.StatusNotFound, "no route matches the host and path")
+}
+
+// unknownRefusal refuses a request whose route or key the view does not have. If the view may lack a change that has taken effect,
+// the refusal is a 503, after which callers try again.
+func (q *request) unknownRefusal(status int, reason string) *refusal {
+	if q.viewAge > q.router.config.CurrentFor {
 		return q.staleRefusal()
 	}
-	return &refusal{fasthttp.StatusNotFound, "no route matches the host and path", 0}
+	return &refusal{status, reason, 0}
 }
 
 func (q *request) staleRefusal() *refusal {
@@ -144,7 +150,7 @@
 		return q.staleRefusal()
 	}
 	if q.customer = q.document.CustomerByKey(q.call.Key); q.customer == nil {
-		return &refusal{fasthttp.StatusUnauthorized, "the access key is missing or unknown", 0}
+		return q.unknownRefusal(fasthttp.StatusUnauthorized, "the access key is missing or unknown")
 	}
 	return nil
 }
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -62,6 +62,9 @@
 	FailureDomain string
 	// FreshFor is the maximum age of the view at which access keys are accepted.
 	FreshFor time.Duration
+	// CurrentFor is the maximum age of the view at which it is taken to hold every route and key that callers were told of. It
+	// must be below the time within which changes take effect.
+	CurrentFor time.Duration
 	// Grace is the time between a stop signal and the exit of the process.
 	Grace time.Duration
 	// RetryPercent is the retry budget of a service, in percent of its requests.
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -283,7 +283,7 @@
 	pool := conn.NewPool(conn.Options{ReceiveBuffer: 256 << 10})
 	var background errgroup.Group
 	router := New(Config{
-		Codec: testCodec{}, Control: b.control, Limiter: b.limiter, Pool: pool, FreshFor: time.Second, Grace: 8 * time.Second,
+		Codec: testCodec{}, Control: b.control, Limiter: b.limiter, Pool: pool, FreshFor: time.Second, CurrentFor: time.Second / 2, Grace: 8 * time.Second,
 		RetryPercent: 100, RetryFloor: 100, Metrics: metric.NewRequests(root.Scope), Events: event.Discard(), Background: &background,
 	})
 	router.OnChange(view)
@@ -445,6 +445,10 @@
 		"unknown key, stale view": {"/safe/x", map[string]string{"Key": "new"}, time.Minute, 503},
 		"no route":                {"/none/x", nil, 0, 404},
 		"no route, stale view":    {"/none/x", nil, time.Minute, 503},
+		"unknown key, late view":  {"/safe/x", map[string]string{"Key": "new"}, 700 * time.Millisecond, 503},
+		"no key, late view":       {"/safe/x", map[string]string{"Key": ""}, 700 * time.Millisecond, 503},
+		"no route, late view":     {"/none/x", nil, 700 * time.Millisecond, 503},
+		"known key, late view":    {"/safe/x", nil, 700 * time.Millisecond, 200},
 		"over the limit":          {"/safe/x", map[string]string{"Key": "overkey"}, 0, 429},
 		"no engine":               {"/stream/x", map[string]string{"Tokens": "100"}, 0, 503},
 	} {
@@ -462,8 +466,8 @@
 		}
 	}
 	b.control.age = 0
-	if b.limiter.charged != 10 {
-		t.Errorf("got %d tokens charged, want 10 for the one request that ran", b.limiter.charged)
+	if b.limiter.charged != 20 {
+		t.Errorf("got %d tokens charged, want 20 for the two requests that ran", b.limiter.charged)
 	}
 	b.server.Drain(time.Millisecond)
 	if got := b.send(t, "POST", "/safe/x", nil); got.status != 503 {
