Watch stream: two silent members in a row cost less than a change may take

An entry that lost its watch stream waited 2 s for the first event of each member that it asked next. With two members that accept connections and say nothing, as frozen ones may, its configuration was over 4 s late, the time within which a change is to be in force.

A member sends the first event at once, so the wait for it is 0.7 s now, doubled for each further member that sends none.

TestSilentMembersInARow failed before: no view after 4.0 s.

--- a/entry/control/slow_test.go
+++ b/entry/control/slow_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,26 @@
 	}
 }
 
+// serveMember serves a member and returns its address.
+func serveMember(t *testing.T, member fleetpb.FleetServer) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := fleetrpc.NewServer(testSecret, event.Discard())
+	fleetpb.RegisterFleetServer(server, member)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	t.Cleanup(func() {
+		server.Stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
 // startSlowLink forwards connections to target, with a bound on the bytes per second towards the client, and returns its address.
 func startSlowLink(t *testing.T, target string, bytesPerSecond int) string {
 	t.Helper()
@@ -88,21 +109,7 @@
 	member := &largeState{state: &fleetpb.WatchEvent{
 		Reset_: true, Index: 7, Sessions: []*fleetpb.Session{{Id: 1, Name: strings.Repeat("x", size)}},
 	}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := fleetrpc.NewServer(testSecret, event.Discard())
-	fleetpb.RegisterFleetServer(server, member)
-	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
-	t.Cleanup(func() {
-		server.Stop()
-		if err := group.Wait(); err != nil {
-			t.Error(err)
-		}
-	})
-	client := startClient(t, startSlowLink(t, listener.Addr().String(), speed))
+	client := startClient(t, startSlowLink(t, serveMember(t, member), speed))
 	began := time.Now()
 	for client.View().Index != 7 {
 		if time.Since(began) > 3*time.Second*size/speed {
@@ -111,3 +118,45 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// silentWatchers leaves the watch streams of the first members that are asked without any event.
+type silentWatchers struct {
+	fakeMember
+	left *atomic.Int32
+}
+
+// Watch implements fleetpb.FleetServer.
+func (m *silentWatchers) Watch(_ *fleetpb.WatchRequest, stream fleetpb.Fleet_WatchServer) error {
+	if m.left.Add(-1) >= 0 {
+		<-stream.Context().Done()
+		return nil
+	}
+	for {
+		if err := stream.Send(&fleetpb.WatchEvent{Reset_: true, Index: 3}); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// TestSilentMembersInARow guards against a view that is late by more than a change may take (4 s) because of two silent members.
+func TestSilentMembersInARow(t *testing.T) {
+	var left atomic.Int32
+	left.Store(2)
+	var addresses []string
+	for range 5 {
+		addresses = append(addresses, serveMember(t, &silentWatchers{left: &left}))
+	}
+	client := startClient(t, addresses...)
+	began := time.Now()
+	for client.View().Index != 3 {
+		if time.Since(began) > 4*time.Second {
+			t.Fatalf("got no view after %v, want one within 4 s", time.Since(began))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -20,6 +20,9 @@
 	// minEventProgress is the number of bytes within watchTimeout from which an event is taken to be arriving. Responses to keepalives
 	// on the same connection stay below it.
 	minEventProgress = 4 << 10
+	// firstEventTimeout bounds the wait for the first event of a stream, which a member sends at once. It doubles up to watchTimeout
+	// with each member that sends none, so that a busy entry does not leave every member too soon.
+	firstEventTimeout = attemptTimeout
 	// maxWatchLag ends a stream whose member lags behind the leader.
 	maxWatchLag     = time.Second
 	watchRetryPause = 100 * time.Millisecond
@@ -29,8 +32,12 @@
 	// Each entry starts at a random member, which spreads the streams over the members.
 	known := c.members.knownAddresses()
 	address := known[rand.IntN(len(known))]
+	timeout := firstEventTimeout
 	for ctx.Err() == nil {
-		err := c.watch(ctx, address)
+		begun, err := c.watch(ctx, address, timeout)
+		if timeout = min(2*timeout, watchTimeout); begun {
+			timeout = firstEventTimeout
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -46,19 +53,20 @@
 	return nil
 }
 
-func (c *Client) watch(ctx context.Context, address string) error {
+// watch applies the events of a member's stream until the stream ends. It reports whether there was any event.
+func (c *Client) watch(ctx context.Context, address string, firstEvent time.Duration) (begun bool, err error) {
 	conn, err := c.members.connectionTo(address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	progress := &eventProgress{received: conn.received.Load()}
-	timeout := newWatchTimer(func() bool { return progress.stopped(conn.received.Load()) }, cancel)
+	timeout := newWatchTimer(firstEvent, func() bool { return progress.stopped(conn.received.Load()) }, cancel)
 	defer timeout.Stop()
 	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index})
 	if err != nil {
-		return eris.Wrap(err, "open watch stream")
+		return false, eris.Wrap(err, "open watch stream")
 	}
 	for {
 		e, err := stream.Recv()
@@ -67,14 +75,15 @@
 				// The connection may be stalled.
 				c.members.closeConnection(address)
 			}
-			return eris.Wrap(err, "read watch stream")
+			return begun, eris.Wrap(err, "read watch stream")
 		}
+		begun = true
 		timeout.Reset(watchTimeout)
 		if err := c.handleEvent(e); err != nil {
-			return err
+			return begun, err
 		}
 		if lag := c.lag(); lag > maxWatchLag {
-			return eris.Errorf("member %s is %v behind the leader", address, lag)
+			return begun, eris.Errorf("member %s is %v behind the leader", address, lag)
 		}
 	}
 }
@@ -92,12 +101,12 @@
 	return arrived < minEventProgress
 }
 
-// newWatchTimer returns a timer that calls end once it has not been reset for watchTimeout and stopped returns true.
-func newWatchTimer(stopped func() bool, end func()) *time.Timer {
+// newWatchTimer returns a timer that calls end once it has not been reset for first, and then watchTimeout, and stopped returns true.
+func newWatchTimer(first time.Duration, stopped func() bool, end func()) *time.Timer {
 	var timer *time.Timer
 	ready := make(chan struct{})
 	defer close(ready)
-	timer = time.AfterFunc(watchTimeout, func() {
+	timer = time.AfterFunc(first, func() {
 		<-ready
 		if stopped() {
 			end()
