Streams: an interrupted response goes on at the software version that began it

While upstreams of two software versions serve, callers got responses whose beginning was written by one version and whose rest by the other, with nothing in them to show it: a stream that broke off went on at any upstream of its service. The version that upstreams announce was decoded and dropped.

Class: an identity that is announced and not used, so that things that differ count as interchangeable.

The version is part of an upstream's record now. From its first event on, a stream needs upstreams of its version, whoever chooses them: this entry, the coordinator, or the search for a successor of a silent upstream. One that finds none ends. What waits for one version does not hold up others in the coordinator's queue. Prefills go to any version.

--- a/control/state/upstream.go
+++ b/control/state/upstream.go
@@ -97,8 +97,8 @@
 	if u.GetId() == "" || len(u.Id) > maxTextBytes || u.Address == "" || len(u.Address) > maxTextBytes {
 		return "an upstream has an ID and an address of at most 256 bytes"
 	}
-	if len(u.Pool) > maxTextBytes || len(u.FailureDomain) > maxTextBytes || len(u.Models) > maxModels {
-		return "the upstream's pool or failure domain is too long, or it has too many models"
+	if len(u.Pool) > maxTextBytes || len(u.FailureDomain) > maxTextBytes || len(u.SoftwareVersion) > maxTextBytes || len(u.Models) > maxModels {
+		return "the upstream's pool, failure domain or software version is too long, or it has too many models"
 	}
 	for _, model := range u.Models {
 		if len(model) > maxTextBytes {
@@ -138,7 +138,8 @@
 func sameAnnouncement(a, b *fleetpb.Upstream) bool {
 	return a.Address == b.Address && a.Kind == b.Kind && a.Role == b.Role && a.Pool == b.Pool &&
 		slices.Equal(a.Models, b.Models) && a.FailureDomain == b.FailureDomain && a.Slots == b.Slots &&
-		a.ChecksFencing == b.ChecksFencing && a.State == b.State && a.ColdMillis == b.ColdMillis
+		a.ChecksFencing == b.ChecksFencing && a.State == b.State && a.ColdMillis == b.ColdMillis &&
+		a.SoftwareVersion == b.SoftwareVersion
 }
 
 func (m *Machine) putUpstream(u *fleetpb.Upstream) {
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -272,6 +272,7 @@
 		Need: place.GenerationNeed{
 			Session: r.SessionId, Service: r.Service, Generation: generation(r.Generation), FailureDomain: r.FailureDomain,
 			Exclude: r.Exclude, Full: r.Full, Target: milliseconds(r.TargetMillis), Regions: regions(r), Repeatable: r.Repeatable,
+			SoftwareVersion: r.SoftwareVersion, SameSoftware: r.SameSoftware,
 		},
 		Until: now.Add(milliseconds(r.WaitMillis)), Patience: milliseconds(r.PatienceMillis), Late: r.Late, Priority: int(r.Priority), Done: make(chan place.Result, 1),
 	}
--- a/entry/coordinator/upstreams.go
+++ b/entry/coordinator/upstreams.go
@@ -31,6 +31,7 @@
 			ID: u.Id, Address: u.Address, FailureDomain: u.FailureDomain, Service: u.Pool, Role: u.Role, Incarnation: u.Incarnation,
 			Accepts: u.State != fleetpb.UpstreamState_UPSTREAM_STATE_LEAVING && !u.WasLeaving, Announcing: u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE,
 			Capacity: int(u.Slots) * requestsPerSlot, Region: view.Regions[u.FailureDomain], Evacuated: view.Evacuated(u.FailureDomain),
+			SoftwareVersion: u.SoftwareVersion,
 		}
 		if view.Document != nil {
 			describeService(&upstream, view.Document.Services[u.Pool], view.ColdUntil(u.Id))
--- a/entry/place/book.go
+++ b/entry/place/book.go
@@ -31,10 +31,18 @@
 	Target time.Duration
 	// Regions are those whose engines may run the generation, nil for all.
 	Regions []string
+	// SoftwareVersion is the only one whose decode engines may run the generation, if SameSoftware is set.
+	SoftwareVersion string
+	SameSoftware    bool
 	// Repeatable is set if the generation may run more than once.
 	Repeatable bool
 }
 
+// allowsSoftware reports whether the generation may run on a decode engine of the software version.
+func (n *GenerationNeed) allowsSoftware(version string) bool {
+	return !n.SameSoftware || n.SoftwareVersion == version
+}
+
 // allows reports whether the generation may run on an engine in the region.
 func (n *GenerationNeed) allows(region string) bool {
 	return n.Regions == nil || slices.Contains(n.Regions, region)
@@ -381,7 +389,7 @@
 	least, accepting := math.Inf(1), 0
 	for _, id := range b.ids {
 		e := b.engines[id]
-		if e.Service != need.Service || e.Role != RoleDecode || !need.allows(e.Region) || !e.usable(now) || excluded[e.ID] {
+		if e.Service != need.Service || e.Role != RoleDecode || !need.allows(e.Region) || !need.allowsSoftware(e.SoftwareVersion) || !e.usable(now) || excluded[e.ID] {
 			continue
 		}
 		accepting++
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -34,6 +34,8 @@
 	Slots int
 	// Region is the region of the failure domain, empty if it is not known.
 	Region string
+	// SoftwareVersion is the version of the upstream's software.
+	SoftwareVersion string
 	// Evacuated is set while operators want nothing new to be sent to the failure domain; Accepts is not set then.
 	Evacuated bool
 	// ColdUntil is when the upstream is warm at the latest. Until then, the fleet may send it ColdRate requests per second, and only
@@ -67,18 +69,29 @@
 	Exclude []string
 	// Regions are those whose upstreams may run the request, nil for all.
 	Regions []string
+	// SoftwareVersion is the only one whose upstreams may run the request, if SameSoftware is set.
+	SoftwareVersion string
+	SameSoftware    bool
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// GrantedUntil is until when the coordinator lets the request be sent to cold upstreams that it has chosen.
 	GrantedUntil time.Time
 }
 
-// allows reports whether the request may run on an upstream in the region.
-func (n *Need) allows(region string) bool {
+// allows reports whether the request may run on the upstream as far as its region and its software are concerned.
+func (n *Need) allows(u *Upstream) bool {
+	return n.allowsRegion(u.Region) && n.allowsSoftware(u.SoftwareVersion)
+}
+
+func (n *Need) allowsRegion(region string) bool {
 	return n.Regions == nil || slices.Contains(n.Regions, region)
 }
 
-// Errors of Pick; it also returns a *PausedError. ErrEvacuated and ErrRegion are cases of ErrNone.
+func (n *Need) allowsSoftware(version string) bool {
+	return !n.SameSoftware || n.SoftwareVersion == version
+}
+
+// Errors of Pick; it also returns a *PausedError. ErrEvacuated, ErrRegion and ErrSoftware are cases of ErrNone.
 var (
 	// ErrNone means that no upstream of the service accepts requests.
 	ErrNone = errors.New("no upstream of the service accepts requests")
@@ -86,6 +99,8 @@
 	ErrEvacuated = fmt.Errorf("%w: all failure domains with upstreams of the service are evacuated", ErrNone)
 	// ErrRegion means that the service has no upstream in the regions of the request.
 	ErrRegion = fmt.Errorf("%w: none is in a region where the request may run", ErrNone)
+	// ErrSoftware means that the service has no upstream of the software version that the request needs.
+	ErrSoftware = fmt.Errorf("%w: none has the software version at which the response began", ErrNone)
 	// ErrBusy means that all upstreams of the service are at their capacity.
 	ErrBusy = errors.New("all upstreams of the service are busy")
 )
@@ -337,7 +352,7 @@
 func (t *Table) Assign(now time.Time, id string, incarnation uint64, need Need) (Upstream, bool) {
 	s := t.states[id]
 	if s == nil || incarnation != 0 && s.Incarnation != incarnation || s.Service != need.Service || s.Role != need.Role ||
-		!need.allows(s.Region) || s.leaving() || s.restricted(now) || s.cold(now) && !now.Before(need.GrantedUntil) {
+		!need.allows(&s.Upstream) || s.leaving() || s.restricted(now) || s.cold(now) && !now.Before(need.GrantedUntil) {
 		return Upstream{}, false
 	}
 	t.start(s, need)
@@ -348,7 +363,7 @@
 
 // spare reports whether the upstream may take such a request and has at least half of its slots free.
 func (s *state) spare(now time.Time, need Need) bool {
-	if slices.Contains(need.Exclude, s.ID) || !need.allows(s.Region) || s.leaving() || !s.Announcing || s.restricted(now) {
+	if slices.Contains(need.Exclude, s.ID) || !need.allows(&s.Upstream) || s.leaving() || !s.Announcing || s.restricted(now) {
 		return false
 	}
 	if s.tier(now) > 0 || s.cold(now) || s.full(need.Work) || now.Before(s.fullUntil) {
@@ -413,7 +428,7 @@
 		}
 		for i := range t.ids {
 			s := t.states[t.ids[(i+t.rotation)%len(t.ids)]]
-			if s.Service != need.Service || s.Role != need.Role || !need.allows(s.Region) || s.leaving() || s.restricted(now) ||
+			if s.Service != need.Service || s.Role != need.Role || !need.allows(&s.Upstream) || s.leaving() || s.restricted(now) ||
 				slices.Contains(need.Exclude, s.ID) || s.tier(now) != tier {
 				continue
 			}
@@ -542,7 +557,7 @@
 func (t *Table) Count(now time.Time, need Need) int {
 	n := 0
 	for _, s := range t.states {
-		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() && !s.restricted(now) && s.Announcing && !s.cold(now) {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(&s.Upstream) && !s.leaving() && !s.restricted(now) && s.Announcing && !s.cold(now) {
 			n++
 		}
 	}
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -165,7 +165,7 @@
 }
 
 // Advance places waiting generations in their order, and refuses those that waited for too long. It sends the results
-// to Done. A generation that does not fit lets no later one of its service pass, unless it excludes engines itself.
+// to Done. A generation that does not fit lets no later one of its service pass, unless it can't use all engines.
 func (q *Queue) Advance(now time.Time) {
 	if len(q.waiting) == 0 {
 		return
@@ -183,7 +183,7 @@
 				q.countPassed(w, q.waiting[i+1:])
 				continue
 			}
-			blocked[service] = len(w.Need.Exclude) == 0 && len(w.Need.Full) == 0
+			blocked[service] = len(w.Need.Exclude) == 0 && len(w.Need.Full) == 0 && !w.Need.SameSoftware
 		}
 		if now.Before(w.Until) {
 			kept = append(kept, w)
--- a/entry/place/restriction.go
+++ b/entry/place/restriction.go
@@ -136,7 +136,7 @@
 func (t *Table) ResumeDelay(now time.Time, need Need) time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for _, s := range t.states {
-		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(&s.Upstream) && !s.leaving() {
 			least = min(least, s.pause(now))
 		}
 	}
@@ -150,7 +150,7 @@
 func (t *Table) errNoneOpen(now time.Time, need Need) error {
 	e := &PausedError{Wait: math.MaxInt64, Retry: t.ResumeDelay(now, need)}
 	for _, s := range t.states {
-		if s.Service == need.Service && s.Role == need.Role && need.allows(s.Region) && !s.leaving() && !slices.Contains(need.Exclude, s.ID) {
+		if s.Service == need.Service && s.Role == need.Role && need.allows(&s.Upstream) && !s.leaving() && !slices.Contains(need.Exclude, s.ID) {
 			e.Wait = min(e.Wait, s.pause(now))
 		}
 	}
@@ -162,18 +162,21 @@
 
 // WhyNone returns why no upstream accepts such a request: ErrNone or one of its cases.
 func (t *Table) WhyNone(need Need) error {
-	present, allowed, others := false, false, false
+	present, sameSoftware, allowed, others := false, false, false, false
 	for _, s := range t.states {
 		if s.Service != need.Service || s.Role != need.Role || !s.Announcing && !s.Evacuated {
 			continue
 		}
 		present = true
-		if need.allows(s.Region) {
+		sameSoftware = sameSoftware || need.allowsSoftware(s.SoftwareVersion)
+		if need.allows(&s.Upstream) {
 			allowed = true
 			others = others || !s.Evacuated
 		}
 	}
 	switch {
+	case present && !sameSoftware:
+		return ErrSoftware
 	case present && !allowed:
 		return ErrRegion
 	case allowed && !others:
--- a/entry/place/split.go
+++ b/entry/place/split.go
@@ -131,7 +131,7 @@
 		_, requests := s.totalLoad()
 		f.DecodeIdle = requests <= 1 && t.entries <= manyEntries
 	}
-	need.Role, need.Work, need.Exclude = RolePrefill, prompt, nil
+	need.Role, need.Work, need.Exclude, need.SameSoftware = RolePrefill, prompt, nil, false
 	if prefill, err := t.best(now, need); err == nil {
 		f.HasSplit = true
 		work, _ := prefill.totalLoad()
--- a/entry/usage/place.go
+++ b/entry/usage/place.go
@@ -37,6 +37,9 @@
 	PromptParts []uint64
 	// Regions are those whose engines may run the generation, nil for all.
 	Regions []string
+	// SoftwareVersion is the only one whose decode engines may run the generation, if SameSoftware is set.
+	SoftwareVersion string
+	SameSoftware    bool
 	// Repeatable is set if the generation may run more than once.
 	Repeatable bool
 }
@@ -71,6 +74,7 @@
 		Exclude: need.Exclude, Full: need.Full, WaitMillis: uint32(max(0, need.Wait.Milliseconds())),
 		TargetMillis: uint32(max(0, need.Target.Milliseconds())), PatienceMillis: uint32(max(0, need.Patience.Milliseconds())),
 		Late: need.Late, Priority: uint32(max(0, need.Priority)), PromptParts: need.PromptParts, Regions: need.Regions, Restricted: need.Regions != nil, Repeatable: need.Repeatable,
+		SoftwareVersion: need.SoftwareVersion, SameSoftware: need.SameSoftware,
 	}
 	sent := time.Now()
 	response, err := c.callPlace(ctx, own, id, request, need.Wait)
--- a/entry/web/place.go
+++ b/entry/web/place.go
@@ -97,6 +97,7 @@
 		Exclude: append(q.router.unavailable(q.service), q.need.Exclude...), Full: full,
 		Wait: min(time.Until(until), left), Target: q.route.Target, Patience: left, Late: q.late, Priority: q.priority(),
 		PromptParts: q.sharedParts(), Regions: q.need.Regions, Repeatable: q.need.Repeatable,
+		SoftwareVersion: q.need.SoftwareVersion, SameSoftware: q.need.SameSoftware,
 	}
 }
 
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -301,6 +301,8 @@
 	switch {
 	case errors.Is(err, place.ErrEvacuated):
 		return &refusal{fasthttp.StatusServiceUnavailable, "all failure domains with upstreams of the service are evacuated", q.latestRetry()}
+	case errors.Is(err, place.ErrSoftware):
+		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream of the software version at which the stream began", minStartupRetry}
 	case errors.Is(err, place.ErrRegion):
 		return &refusal{fasthttp.StatusServiceUnavailable, "the service has no upstream in a region where the request may run", q.latestRetry()}
 	}
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -220,6 +220,7 @@
 func (q *request) prefill(p placement, expected time.Duration) (source, handle string, allowed bool) {
 	need, engine := q.need, p.prefill
 	need.Role, need.Work, need.Exclude, need.GrantedUntil = place.RolePrefill, max(1, q.call.PromptTokens), nil, p.grantedUntil
+	need.SameSoftware = false
 	sent := false
 	for range maxPrefills {
 		s := q.tryPrefill(&need, engine, expected)
@@ -333,6 +334,8 @@
 			q.expectEvent(s)
 		}
 		if !q.x.HeaderWritten() {
+			// What two software versions write does not fit together.
+			q.need.SoftwareVersion, q.need.SameSoftware = s.upstream.SoftwareVersion, true
 			if err := q.beginStream(s); err != nil {
 				return q.endRelay(s, err)
 			}
