Streams that callers take up again go on at the software version that began them

When a caller's stream broke off and it took the stream up again, the text was joined from two software versions if two served, or if the old one had just left. No process remembered where a stream had begun: the response names no version, and the caller's request only names the attempt that began it. Class: knowledge that only the process has whose end makes it needed.

Control members keep it in memory: entries may all die at once, and what a member loses is known to the other one or leads to a refusal, never to a guess. A stream that is taken up goes on at the version that is recorded. Without a record it goes on only if all upstreams of the service that the group remembers, the ones that are down included, have one version, and the leader confirms that the entry's view is the newest. Otherwise it is refused at once with 503, not run.

--- a/control/fleet/service.go
+++ b/control/fleet/service.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"azuredoor.example/control/member"
+	"azuredoor.example/control/origin"
 	"azuredoor.example/control/state"
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
@@ -32,6 +33,8 @@
 	state  *state.Machine
 	events *event.Logger
 	leases *leases
+	// origins holds where responses began, as entries told this member.
+	origins *origin.Store
 	// orderLeaseMu serializes the calls that may grant the order lease.
 	orderLeaseMu sync.Mutex
 	// stopping is closed by Stop.
@@ -53,7 +56,7 @@
 		c.UpstreamTTL = defaultUpstreamTTL
 	}
 	return &Service{
-		group: c.Group, state: c.State, events: c.Events, leases: newLeases(c.UpstreamTTL), stopping: make(chan struct{}),
+		group: c.Group, state: c.State, events: c.Events, leases: newLeases(c.UpstreamTTL), origins: origin.NewStore(), stopping: make(chan struct{}),
 	}
 }
 
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -161,9 +161,10 @@
 		if err == nil {
 			return nil
 		}
-		if status.Code(err) == codes.DeadlineExceeded && silent {
+		switch timedOut := status.Code(err) == codes.DeadlineExceeded; {
+		case timedOut && silent:
 			m.closeConnection(address)
-		} else if status.Code(err) == codes.DeadlineExceeded {
+		case timedOut:
 			timeout = min(2*timeout, maxAttemptTimeout)
 		}
 		hint, retry := classifyError(err)
--- /dev/null
+++ b/entry/control/origins_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"azuredoor.example/core/fleetpb"
+)
+
+// originMember is a control member that keeps origins, and may be told to be silent.
+type originMember struct {
+	fakeMember
+	mu      sync.Mutex
+	origins map[string]string
+	silent  bool
+}
+
+func (m *originMember) setSilent(silent bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent = silent
+}
+
+func (m *originMember) wait(ctx context.Context) {
+	m.mu.Lock()
+	silent := m.silent
+	m.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+}
+
+// RecordOrigin implements fleetpb.FleetServer.
+func (m *originMember) RecordOrigin(ctx context.Context, r *fleetpb.RecordOriginRequest) (*fleetpb.RecordOriginResponse, error) {
+	m.wait(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.origins[r.Customer+"/"+r.RequestId] = r.SoftwareVersion
+	return &fleetpb.RecordOriginResponse{}, nil
+}
+
+// FindOrigin implements fleetpb.FleetServer.
+func (m *originMember) FindOrigin(ctx context.Context, r *fleetpb.FindOriginRequest) (*fleetpb.FindOriginResponse, error) {
+	m.wait(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	version, ok := m.origins[r.Customer+"/"+r.RequestId]
+	return &fleetpb.FindOriginResponse{Found: ok, SoftwareVersion: version}, nil
+}
+
+// ConfirmView implements fleetpb.FleetServer.
+func (m *originMember) ConfirmView(context.Context, *fleetpb.ConfirmViewRequest) (*fleetpb.ConfirmViewResponse, error) {
+	_, index, _ := m.settings()
+	return &fleetpb.ConfirmViewResponse{StateIndex: index}, nil
+}
+
+// TestOriginOutlivesMembers guards against origins that are lost, or taken for never recorded, because of members that do not answer.
+func TestOriginOutlivesMembers(t *testing.T) {
+	members := make([]*originMember, 3)
+	var addresses []string
+	for i := range members {
+		members[i] = &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent)}, origins: map[string]string{}}
+		addresses = append(addresses, serveMember(t, members[i]))
+	}
+	client := startClient(t, addresses...)
+	ctx := t.Context()
+	for silent := range members {
+		id := string(rune('a' + silent))
+		stored := 0
+		client.RecordOrigin(ctx, Origin{Customer: "c", RequestID: id, SoftwareVersion: "v1", Keep: time.Minute}, func() { stored++ })
+		if stored != 1 {
+			t.Errorf("got %d reports that the origin is stored, want 1", stored)
+		}
+		members[silent].setSilent(true)
+		if got, err := client.FindOrigin(ctx, "c", id); err != nil || got != "v1" {
+			t.Errorf("member %d silent: got %q, %v, want v1", silent, got, err)
+		}
+		if _, err := client.FindOrigin(ctx, "c", "never"+id); err == nil || errors.Is(err, ErrNoOrigin) {
+			t.Errorf("never recorded, member %d silent: got %v, want an error that leaves it open", silent, err)
+		}
+		members[silent].setSilent(false)
+		if _, err := client.FindOrigin(ctx, "other", id); !errors.Is(err, ErrNoOrigin) {
+			t.Errorf("request of another customer: got %v, want ErrNoOrigin", err)
+		}
+	}
+}
+
+// TestConfirmViewWaits guards against a view that counts as the newest although the leader knows of a later change.
+func TestConfirmViewWaits(t *testing.T) {
+	member := &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent, 4)}, origins: map[string]string{}}
+	client := startClient(t, serveMember(t, member))
+	member.configure(func() { member.stateIndex = 8 })
+	member.events <- &fleetpb.WatchEvent{Reset_: true, Index: 7}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	if err := client.ConfirmView(ctx); err == nil {
+		t.Error("got no error while a change is missing")
+	}
+	member.events <- &fleetpb.WatchEvent{Index: 8}
+	if err := client.ConfirmView(t.Context()); err != nil || client.View().Index < 8 {
+		t.Errorf("got %v at index %d, want the view at index 8", err, client.View().Index)
+	}
+}
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -60,6 +61,17 @@
 	return e != nil && !e.Withdrawn
 }
 
+// SoftwareVersions returns the software versions of all upstreams of a pool that are known, also of those that are down.
+func (v *View) SoftwareVersions(pool string) []string {
+	var versions []string
+	for _, u := range v.Upstreams {
+		if u.Pool == pool && !slices.Contains(versions, u.SoftwareVersion) {
+			versions = append(versions, u.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
 // AcceptsRequests reports whether an upstream of a view may receive new requests.
 func AcceptsRequests(u *fleetpb.Upstream) bool {
 	return u.State == fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE && u.Desired == fleetpb.DesiredState_DESIRED_STATE_ACTIVE
--- a/entry/daemon/web.go
+++ b/entry/daemon/web.go
@@ -330,7 +330,7 @@
 	options.LargeBodies = int64(float64(c.MemoryMegabytes) * largeBodyShare * (1 << 20))
 	e.pool = conn.NewPool(options)
 	e.router = web.New(web.Config{
-		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Pool: e.pool, FailureDomain: c.FailureDomain,
+		Codec: c.Codec, Control: e.fleet, Limiter: e.limiter, Placer: e.limiter, Origins: e.fleet, Pool: e.pool, FailureDomain: c.FailureDomain,
 		FreshFor: freshnessBound, CurrentFor: min(freshnessBound, c.Propagation-propagationMargin), Grace: c.Grace - stopMargin,
 		RetryPercent: c.RetryRatio * retryBudgetShare * 100, RetryFloor: int(float64(c.RetrySlack) * retryBudgetShare),
 		HedgePercent: c.HedgeRatio * 100, Hedged: e.countHedge,
--- a/entry/web/codec.go
+++ b/entry/web/codec.go
@@ -26,6 +26,9 @@
 	ExpectedTokens int
 	// LastEvent is the ID of the last event that the caller received in an earlier response, empty for none.
 	LastEvent string
+	// Continues is the ID of the attempt whose response brought the caller the first event of the stream; empty if the caller
+	// names none.
+	Continues string
 	// PromptParts identify the parts of the prompt, in order. Requests share parts; the last one belongs to the request or its
 	// session. There are at most MaxPromptParts.
 	PromptParts []uint64
--- a/entry/web/origin_test.go
+++ b/entry/web/origin_test.go
@@ -1,18 +1,53 @@
 package web
 
 import (
+	"context"
+	"errors"
 	"net"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/entry/control"
 )
 
+// fakeOrigins keeps origins as the control group does.
+type fakeOrigins struct {
+	mu       sync.Mutex
+	versions map[string]string
+	// findErr is the error for origins that are not known, confirmErr that of ConfirmView.
+	findErr, confirmErr error
+}
+
+func (f *fakeOrigins) RecordOrigin(_ context.Context, o control.Origin, stored func()) {
+	f.mu.Lock()
+	f.versions[o.Customer+"/"+o.RequestID] = o.SoftwareVersion
+	f.mu.Unlock()
+	stored()
+}
+
+func (f *fakeOrigins) FindOrigin(_ context.Context, customer, request string) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version, ok := f.versions[customer+"/"+request]; ok {
+		return version, nil
+	}
+	return "", f.findErr
+}
+
+func (f *fakeOrigins) ConfirmView(context.Context) error { return f.confirmErr }
+
 // useVersions sets the software versions of the decode engines, in their order.
-func (b *testRouter) useVersions(versions ...string) {
+func (b *testRouter) useVersions(origins Origins, versions ...string) {
 	for i, version := range versions {
 		b.control.view.Upstreams["edecode"+strconv.Itoa(i)].SoftwareVersion = version
 	}
+	b.router.config.Origins = origins
 	b.router.OnChange(b.control.view)
 }
 
@@ -38,7 +73,7 @@
 			})
 			second := startUpstream(t, streamScript(false))
 			b := newTestRouter(t, nil, nil, []*upstream{first, second})
-			b.useVersions("v1", other)
+			b.useVersions(&fakeOrigins{versions: map[string]string{}}, "v1", other)
 			for i := range 10 {
 				begun, taken := len(first.requests()), len(second.requests())
 				got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
@@ -58,3 +93,87 @@
 		})
 	}
 }
+
+// TestTakenUpStreamKeepsItsSoftwareVersion guards against a caller that gets the rest of its stream from another software version.
+func TestTakenUpStreamKeepsItsSoftwareVersion(t *testing.T) {
+	unreachable := errors.New("no member answers")
+	for name, test := range map[string]struct {
+		recorded            string
+		versions            []string
+		down                int
+		findErr, confirmErr error
+		continues           string
+		want                string
+	}{
+		"recorded at the old one":         {recorded: "v1", versions: []string{"v2", "v1"}, want: "v1"},
+		"recorded at the new one":         {recorded: "v2", versions: []string{"v2", "v1"}, want: "v2"},
+		"its version has left":            {recorded: "v1", versions: []string{"v2", "v2"}},
+		"not recorded, one version":       {versions: []string{"v1", "v1"}, findErr: control.ErrNoOrigin, want: "v1"},
+		"not recorded, two versions":      {versions: []string{"v1", "v2"}, findErr: control.ErrNoOrigin},
+		"not recorded, one has left":      {versions: []string{"v2", "v1"}, down: 2, findErr: control.ErrNoOrigin},
+		"members silent, two versions":    {versions: []string{"v1", "v2"}, findErr: unreachable},
+		"members silent, one version":     {versions: []string{"v1", "v1"}, findErr: unreachable, want: "v1"},
+		"not recorded, view not current":  {versions: []string{"v1", "v1"}, findErr: control.ErrNoOrigin, confirmErr: unreachable},
+		"no attempt named, one version":   {recorded: "v2", versions: []string{"v1", "v1"}, continues: "-", want: "v1"},
+		"no attempt named, two versions":  {recorded: "v1", versions: []string{"v1", "v2"}, continues: "-"},
+		"attempt of another caller named": {recorded: "v1", versions: []string{"v1", "v2"}, continues: "other", findErr: control.ErrNoOrigin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
+			b := newTestRouter(t, nil, nil, engines)
+			origins := &fakeOrigins{versions: map[string]string{}, findErr: test.findErr, confirmErr: test.confirmErr}
+			if test.recorded != "" {
+				origins.versions["c/first"] = test.recorded
+			}
+			if test.down > 0 {
+				b.control.view.Upstreams["edecode"+strconv.Itoa(test.down-1)].State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
+			}
+			b.useVersions(origins, test.versions...)
+			header := map[string]string{"Tokens": "100", "After": "3", "Continues": strings.Trim(firstNonEmpty(test.continues, "first"), "-")}
+			for range 3 {
+				got := b.send(t, "POST", "/stream/x", header)
+				if served := got.status == 200; served != (test.want != "") || !served && (got.status != 503 || got.header.Get("Retry-After") == "") {
+					t.Errorf("got status %d, want served: %v, or else 503 with Retry-After", got.status, test.want != "")
+				}
+			}
+			for i, u := range engines {
+				if version := test.versions[i]; len(u.requests()) > 0 && version != test.want {
+					t.Errorf("got %d requests at version %s, want only version %q", len(u.requests()), version, test.want)
+				}
+			}
+		})
+	}
+}
+
+// TestOriginIsRecordedBeforeTheFirstEvent guards against a stream whose caller has an event, but whose origin nobody knows.
+func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
+	b := newTestRouter(t, nil, nil, engines)
+	origins := &slowOrigins{fakeOrigins: fakeOrigins{versions: map[string]string{}}, delay: originStoreWait / 2}
+	b.useVersions(origins, "v1", "v2")
+	began := time.Now()
+	if got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"}); got.status != 200 || got.truncated {
+		t.Fatalf("got status %d, truncated %v, want a whole stream", got.status, got.truncated)
+	}
+	if took := time.Since(began); took < origins.delay {
+		t.Errorf("got the first event after %v at most, want it after the origin was stored (%v)", took, origins.delay)
+	}
+	want := "v1"
+	if len(engines[1].requests()) > 0 {
+		want = "v2"
+	}
+	if got := origins.versions["c/request-1"]; got != want {
+		t.Errorf("got origin %q, want %q", got, want)
+	}
+}
+
+// slowOrigins takes some time to store an origin.
+type slowOrigins struct {
+	fakeOrigins
+	delay time.Duration
+}
+
+func (s *slowOrigins) RecordOrigin(ctx context.Context, o control.Origin, stored func()) {
+	time.Sleep(s.delay)
+	s.fakeOrigins.RecordOrigin(ctx, o, stored)
+}
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -50,6 +50,18 @@
 	Changed()
 }
 
+// Origins keeps outside this process at which software versions the responses to callers began.
+type Origins interface {
+	// RecordOrigin stores where the response to a request began. It calls stored once that outlives this process, and returns when
+	// all copies are stored or have failed.
+	RecordOrigin(ctx context.Context, o control.Origin, stored func())
+	// FindOrigin returns the software version at which the response to a request began. It returns control.ErrNoOrigin if that is
+	// not recorded, and another error if some records could not be asked.
+	FindOrigin(ctx context.Context, customer, request string) (version string, err error)
+	// ConfirmView waits until the view holds all that the control group knew at the call.
+	ConfirmView(ctx context.Context) error
+}
+
 // Config configures a Router.
 type Config struct {
 	Codec   Codec
@@ -57,7 +69,9 @@
 	Limiter Limiter
 	// Placer is nil if the entry chooses engines itself.
 	Placer Placer
-	Pool   *conn.Pool
+	// Origins is nil if all upstreams of a service can take over each other's streams.
+	Origins Origins
+	Pool    *conn.Pool
 	// FailureDomain is the failure domain of this VM.
 	FailureDomain string
 	// FreshFor is the maximum age of the view at which access keys are accepted.
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -50,6 +50,10 @@
 
 // serveStream serves a request whose response is an event stream.
 func (q *request) serveStream() {
+	if refused := q.findOrigin(); refused != nil {
+		q.refuse(refused)
+		return
+	}
 	lastID := ""
 	promptSent := false
 	var unusedPrefill Forwarding
@@ -334,8 +338,7 @@
 			q.expectEvent(s)
 		}
 		if !q.x.HeaderWritten() {
-			// What two software versions write does not fit together.
-			q.need.SoftwareVersion, q.need.SameSoftware = s.upstream.SoftwareVersion, true
+			q.recordOrigin(s.upstream)
 			if err := q.beginStream(s); err != nil {
 				return q.endRelay(s, err)
 			}
--- a/entry/web/web_test.go
+++ b/entry/web/web_test.go
@@ -27,12 +27,12 @@
 	"azuredoor.example/entry/http1"
 )
 
-// testCodec uses the request headers Id, Patience, Key, Tokens, Parts and After, and the response headers Signed, NotRun, Leaving and
+// testCodec uses the request headers Id, Patience, Key, Tokens, Parts, After and Continues, and the response headers Signed, NotRun, Leaving and
 // RetryAfter.
 type testCodec struct{}
 
 func (testCodec) ReadCall(h *fasthttp.RequestHeader) Call {
-	c := Call{ID: string(h.Peek("Id")), Key: string(h.Peek("Key")), LastEvent: string(h.Peek("After"))}
+	c := Call{ID: string(h.Peek("Id")), Key: string(h.Peek("Key")), LastEvent: string(h.Peek("After")), Continues: string(h.Peek("Continues"))}
 	c.Timeout, _ = time.ParseDuration(string(h.Peek("Patience")))
 	if n, err := strconv.Atoi(string(h.Peek("Tokens"))); err == nil {
 		c.PromptTokens, c.MaxTokens, c.HasTokens = n, 100, true
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -38,8 +38,20 @@
 	network  string
 	controls []*fleet.Process
 	entry    *fleet.Process
-	// startControl starts the control process with the given index.
+	// startControl starts the control process with the given index, startEntry the entry.
 	startControl func(i int, args ...string) *fleet.Process
+	startEntry   func() *fleet.Process
+}
+
+// restartEntry kills the entry and starts it again. It calls whileDown in between.
+func (p *platform) restartEntry(whileDown func()) {
+	p.t.Helper()
+	if err := p.entry.Signal(syscall.SIGKILL); err != nil {
+		p.t.Fatal(err)
+	}
+	<-p.entry.Done()
+	whileDown()
+	p.entry = p.startEntry()
 }
 
 // restartControl kills a control process and starts it again with its data.
@@ -101,7 +113,10 @@
 	for i := range platformControls {
 		p.controls = append(p.controls, p.startControl(i, "-first-start=true"))
 	}
-	p.entry = start("entry", 51, 0, append([]string{"-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String()}, entryArgs...)...)
+	p.startEntry = func() *fleet.Process {
+		return start("entry", 51, 0, append([]string{"-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String()}, entryArgs...)...)
+	}
+	p.entry = p.startEntry()
 	t.Cleanup(func() {
 		for _, process := range append(p.controls, p.entry) {
 			_ = process.Signal(syscall.SIGCONT)
@@ -137,6 +152,32 @@
 	p.startUpstreamIn("a", work, journal)
 }
 
+// startVersion starts an upstream of a software version, whose ID is the version. The function that it returns lets the upstream
+// leave.
+func (p *platform) startVersion(version string) (leave func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	u := &standin.Upstream{
+		ID: version, Version: version, Service: standin.Service, FailureDomain: "a", Born: time.Now().UnixMilli(), AnnouncedAddress: ln.Addr().String(),
+		ControlAddresses: p.controlAddresses(), Journal: standin.NewJournal(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return u.Run(ctx, ln) })
+	stop := func() {
+		cancel()
+		_ = group.Wait()
+	}
+	p.t.Cleanup(stop)
+	return func() {
+		u.AnnounceDraining(p.t.Context())
+		stop()
+		u.Withdraw(p.t.Context())
+	}
+}
+
 // startUpstreamIn starts an upstream in a failure domain, with the ID "u-" and the domain.
 func (p *platform) startUpstreamIn(domain string, work time.Duration, journal *standin.Journal) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- /dev/null
+++ b/itest/version_test.go
@@ -0,0 +1,92 @@
+package itest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"azuredoor.example/platform/standin"
+)
+
+// openStream sends a request for a stream of events and returns the response with its header read.
+func (p *platform) openStream(id string, fields map[string]string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(p.t.Context(), "POST", "http://"+p.entryAddress()+standin.StreamPath+"?events=200", strings.NewReader("hi"))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = standin.Host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Authorization", "Bearer "+platformKey)
+	request.Header.Set("Deadline-Milliseconds", "6000")
+	for name, value := range fields {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 8 * time.Second}
+	return client.Do(request)
+}
+
+// TestStreamsKeepTheirSoftwareVersionWhenAllEntriesAreKilled guards against streams that their callers take up again, and that go on at
+// another software version, because no entry is left that knows where they began.
+func TestStreamsKeepTheirSoftwareVersionWhenAllEntriesAreKilled(t *testing.T) {
+	t.Parallel()
+	for name, oldLeaves := range map[string]bool{"both versions serve": false, "the old version has left": true} {
+		t.Run(name, func(t *testing.T) {
+			p := startPlatform(t)
+			leave := p.startVersion("v1")
+			p.startVersion("v2")
+			const streams = 24
+			began := map[string]string{}
+			byVersion := map[string]int{}
+			p.await("streams at both versions", func() bool {
+				id := fmt.Sprint("first-", len(began))
+				response, err := p.openStream(id, nil)
+				if err != nil || response.StatusCode != 200 {
+					return false
+				}
+				t.Cleanup(func() { response.Body.Close() })
+				reader := bufio.NewReader(response.Body)
+				for range 6 {
+					if _, err := reader.ReadString('\n'); err != nil {
+						return false
+					}
+				}
+				version := response.Header.Get("Instance-Id")
+				began[id] = version
+				byVersion[version]++
+				return len(began) >= streams && len(byVersion) == 2
+			})
+			p.restartEntry(func() {
+				if oldLeaves {
+					leave()
+				}
+			})
+			p.await("the entry to serve", func() bool {
+				response, err := p.openStream("probe", nil)
+				if err != nil {
+					return false
+				}
+				response.Body.Close()
+				return response.StatusCode == 200
+			})
+			for id, version := range began {
+				response, err := p.openStream("second-"+id, map[string]string{"Last-Event-Id": "2", "Resumes": id})
+				if err != nil {
+					t.Errorf("%s: got %v, want a response", id, err)
+					continue
+				}
+				if got := response.Header.Get("Instance-Id"); response.StatusCode == 200 && got != version {
+					t.Errorf("%s: began at %s and goes on at %s", id, version, got)
+				}
+				if want := !oldLeaves || version == "v2"; want != (response.StatusCode == 200) {
+					text, _ := io.ReadAll(response.Body)
+					t.Errorf("%s of %s: got status %d %s, want it to go on: %v", id, version, response.StatusCode, text, want)
+				}
+				response.Body.Close()
+			}
+		})
+	}
+}
