Test: the disks of all control members are full in turn

A member whose disk takes no more bytes ends, does not come back while that lasts, and cuts the torn tail of its log off when it does.

--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -39,11 +39,13 @@
 	id                    uint64
 	address, adminAddress string
 	dir                   string
-	storage               *failingStore
-	proxy                 *proxy
-	server                *Server
-	stop                  context.CancelFunc
-	group                 *errgroup.Group
+	// fs is the file system of dir, nil for that of the operating system.
+	fs      *fullDisk
+	storage *failingStore
+	proxy   *proxy
+	server  *Server
+	stop    context.CancelFunc
+	group   *errgroup.Group
 }
 
 func listen(t testing.TB, address string) net.Listener {
@@ -76,7 +78,11 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	store, stored, identity, err := disk.Open(disk.Options{Dir: p.dir})
+	options := disk.Options{Dir: p.dir}
+	if p.fs != nil {
+		options.FS = p.fs
+	}
+	store, stored, identity, err := disk.Open(options)
 	if err != nil {
 		p.t.Fatal(err)
 	}
