Streams that callers take up again wait for memory like interrupted ones

A caller that took its stream up again waited for memory for 0.4 of the target only, or behind all others, because what is left of its patience looks like that of a caller that was refused before. It then lost the part that it had.

Such a request counts as interrupted now, like one whose stream broke off within its response: it waits up to twice the target, and not behind others.

TestTakenUpStreamWaitsForMemory failed before: 503 where the rest of the stream is wanted, and a late place in the queue.

--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -171,7 +171,7 @@
 	if s := q.document.Services[q.service]; s.Engine != nil {
 		q.need.Role = place.RoleDecode
 		q.expectedOutput = q.router.expectedOutput(q.service, q.call)
-		q.late = q.router.isLate(q.route.Name, patience)
+		q.late = q.router.isLate(q.route.Name, patience) && !q.interrupted()
 		q.need.Work = max(1, q.call.PromptTokens+int(float64(q.expectedOutput)*placedOutputShare))
 	}
 	if left, ending := q.x.TimeUntilExit(); ending && left < q.route.Timeout && !place.AcceptWhileStopping(q.router.config.Grace, left, q.router.generationDuration(q.service, q.expectedOutput)) {
@@ -180,6 +180,9 @@
 	return nil
 }
 
+// interrupted reports whether the caller may have part of the response, which is lost unless an upstream goes on with it.
+func (q *request) interrupted() bool { return q.mayHaveRun || q.call.LastEvent != "" }
+
 // charge takes the request's tokens from the customer's token bucket.
 func (q *request) charge() *refusal {
 	if q.customer == nil || q.customer.Limit.BurstTokens <= 0 {
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -177,8 +177,8 @@
 	if q.late {
 		until = q.x.Arrived.Add(time.Duration(float64(q.route.Target) * lateWaitFactor))
 	}
-	if q.mayHaveRun {
-		// The caller may have part of the response, which is lost unless an engine takes over before the caller disconnects.
+	if q.interrupted() {
+		// Callers disconnect after a longer pause.
 		until, maxCalls = time.Now().Add(resumeWaitFactor*q.route.Target), maxResumeReserves
 	}
 	var full []string
--- a/entry/web/stream_test.go
+++ b/entry/web/stream_test.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strconv"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"azuredoor.example/entry/place"
+	"azuredoor.example/entry/usage"
 )
 
 func wantEvents(last int) string {
@@ -220,6 +222,49 @@
 	}
 }
 
+// TestTakenUpStreamWaitsForMemory guards against streams that callers take up again and lose, because they wait no longer than new ones
+// or behind them.
+func TestTakenUpStreamWaitsForMemory(t *testing.T) {
+	var fullUntil time.Time
+	engine := startUpstream(t, func(c net.Conn, r *fasthttp.Request, _ int) bool {
+		if string(r.RequestURI()) != "/reserve" {
+			return writeEvents(c, r, 3, 4, true)
+		}
+		if time.Now().Before(fullUntil) {
+			return respond(c, r, 503, "", "")
+		}
+		return respond(c, r, 200, "", "room")
+	})
+	b := newTestRouter(t, nil, nil, []*upstream{engine})
+	b.control.view.Document.Services["e"].Engine.Reservation = time.Second
+	placer := &waitingPlacer{}
+	b.router.config.Placer = placer
+	b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100", "Patience": "5s"})
+	b.router.config.Placer = nil
+	for name, patience := range map[string]string{"soon": "5s", "late": "600ms"} {
+		fullUntil = time.Now().Add(300 * time.Millisecond)
+		got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100", "After": "2", "Patience": patience})
+		if got.status != 200 || got.truncated {
+			t.Errorf("taken up %s: got %d, truncated %v, want the rest of the stream", name, got.status, got.truncated)
+		}
+	}
+	b.router.config.Placer = placer
+	b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100", "After": "2", "Patience": "600ms"})
+	if got := placer.last; got.Late {
+		t.Error("taken up late: got a place behind the others, want none")
+	}
+}
+
+// waitingPlacer places nothing and keeps the last need.
+type waitingPlacer struct{ last usage.PlaceNeed }
+
+func (p *waitingPlacer) Place(_ context.Context, need usage.PlaceNeed) (usage.PlaceResult, error) {
+	p.last = need
+	return usage.PlaceResult{}, usage.ErrNoCoordinator
+}
+
+func (p *waitingPlacer) Changed() {}
+
 // TestUnreachableDecodeEngine guards against prefills for an unreachable decode engine, and against processing the prompt
 // on the next decode engine, which slows its streams, although a prefill engine is available.
 func TestUnreachableDecodeEngine(t *testing.T) {
