--- a/entry/web/trace.go
+++ b/entry/web/trace.go
@@ -139,6 +139,12 @@
 		if q.route != nil && q.route.Stream {
 			e.Int("events", q.trace.events).Int64("firstEventMs", q.trace.firstEvent.Milliseconds()).Int64("longestGapMs", q.trace.longestGap.Milliseconds()).Str("lastEvent", q.call.LastEvent)
 		}
+		if q.need.SameSoftware {
+			e.Str("softwareVersion", q.need.SoftwareVersion)
+		}
+		if q.call.Continues != "" {
+			e.Str("continues", q.call.Continues)
+		}
 		if q.need.Work > 1 {
 			e.Int("promptTokens", q.call.PromptTokens).Int("maxTokens", q.call.MaxTokens).Str("parts", formatParts(q.call.PromptParts))
 		}
@@ -215,7 +221,7 @@
 	write := func(u *fleetpb.Upstream, state string) {
 		r.config.Events.Write(event.UpstreamChanged, func(e *log.Entry) {
 			e.Str("upstream", u.Id).Uint64("incarnation", u.Incarnation).Uint64("sequence", u.Sequence).Str("address", u.Address).
-				Str("service", u.Pool).Str("role", u.Role).Str("state", state).Uint64("viewIndex", view.Index)
+				Str("service", u.Pool).Str("role", u.Role).Str("softwareVersion", u.SoftwareVersion).Str("state", state).Uint64("viewIndex", view.Index)
 		})
 	}
 	for id, u := range view.Upstreams {
