--- a/entry/control/unconfirmed.go
+++ b/entry/control/unconfirmed.go
@@ -27,7 +27,8 @@
 		}
 		age, late := c.Age(), since > 0
 		switch {
-		case c.View().Index == 0:
+		case c.freshAt.Load() < 0:
+			// No view was ever confirmed.
 		case !late && age > c.config.ReportAge:
 			since, received = sinceBoot()-age, c.members.received()
 			c.config.Events.Write(event.ViewUnconfirmed, func(e *log.Entry) { c.describeAge(e).Int64("viewAgeMs", age.Milliseconds()) })
