Send configuration documents to entries in compressed form

Members compress the newest document once for all watchers that say that they accept it. Older members and entries send and get it as it is.

--- a/control/fleet/service.go
+++ b/control/fleet/service.go
@@ -34,7 +34,8 @@
 	events *event.Logger
 	leases *leases
 	// origins holds where responses began, as entries told this member.
-	origins *origin.Store
+	origins    *origin.Store
+	compressor compressor
 	// orderLeaseMu serializes the calls that may grant the order lease.
 	orderLeaseMu sync.Mutex
 	// stopping is closed by Stop.
--- a/control/fleet/watch.go
+++ b/control/fleet/watch.go
@@ -39,6 +39,9 @@
 		changed := s.state.Changed()
 		event := s.state.EventAfter(cursor)
 		if event != nil && (heartbeatDue || !isEmpty(event)) {
+			if request.AcceptsCompressed {
+				event.Document = s.compressor.compress(event.Document, s.events)
+			}
 			if err := stream.Send(event); err != nil {
 				return eris.Wrap(err, "send watch event")
 			}
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -45,6 +45,7 @@
 	ControlCallAbandoned
 	ControlHeartbeatStale
 	ControlEvacuationOrdered
+	ControlDocumentNotCompressed
 )
 
 var controlEvents = map[ID]Description{
@@ -83,4 +84,5 @@
 	ControlCallAbandoned:            {log.InfoLevel, "a call had no effect because its caller had left"},
 	ControlHeartbeatStale:           {log.InfoLevel, "an upstream's heartbeat changed nothing because a newer one is known"},
 	ControlEvacuationOrdered:        {log.InfoLevel, "an operator evacuated a failure domain or withdrew its evacuation"},
+	ControlDocumentNotCompressed:    {log.WarnLevel, "the configuration document could not be compressed and is sent as it is"},
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"azuredoor.example/core/config"
+	"azuredoor.example/core/document"
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
 )
@@ -26,6 +27,8 @@
 	// maxWatchLag ends a stream whose member lags behind the leader, as the leader's responses to keepalives tell.
 	maxWatchLag     = time.Second
 	watchRetryPause = 100 * time.Millisecond
+	// maxDocumentBytes bounds a document after decompression.
+	maxDocumentBytes = 64 << 20
 )
 
 func (c *Client) maintainWatch(ctx context.Context) error {
@@ -64,7 +67,7 @@
 	progress := &eventProgress{received: conn.received.Load()}
 	timeout := newWatchTimer(firstEvent, func() bool { return progress.stopped(conn.received.Load()) }, cancel)
 	defer timeout.Stop()
-	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index})
+	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index, AcceptsCompressed: true})
 	if err != nil {
 		return false, eris.Wrap(err, "open watch stream")
 	}
@@ -201,7 +204,14 @@
 	if stored == nil || c.config.Decode == nil || v.Document != nil && stored.Version <= v.Document.Version {
 		return nil
 	}
-	next, err := c.config.Decode(stored.Data)
+	data := stored.Data
+	if len(stored.Compressed) > 0 {
+		var err error
+		if data, err = document.Decompress(stored.Compressed, maxDocumentBytes); err != nil {
+			return eris.Wrapf(err, "read accepted document, version %d", stored.Version)
+		}
+	}
+	next, err := c.config.Decode(data)
 	if err != nil {
 		return eris.Wrapf(err, "decode accepted document, version %d", stored.Version)
 	}
