Watch stream: a connection of its own

What arrived on the connection that the stream shared with other calls counted as an event on its way: enough of their responses kept a stream alive on which nothing came. The stream has a connection of its own now, and the watchdog a type of its own.

--- a/entry/control/connection.go
+++ b/entry/control/connection.go
@@ -16,13 +16,14 @@
 	received atomic.Int64
 }
 
-func dial(dialer fleetrpc.Dialer, address string) (*connection, error) {
+// dial returns a connection that adds the bytes that it receives to total, too.
+func dial(dialer fleetrpc.Dialer, address string, total *atomic.Int64) (*connection, error) {
 	conn, wrap := &connection{}, dialer.Wrap
 	dialer.Wrap = func(c net.Conn) net.Conn {
 		if wrap != nil {
 			c = wrap(c)
 		}
-		return &countedConn{Conn: c, received: &conn.received}
+		return &countedConn{Conn: c, received: &conn.received, total: total}
 	}
 	var err error
 	if conn.ClientConn, err = dialer.Dial(address); err != nil {
@@ -34,12 +35,13 @@
 // countedConn counts the bytes that it reads.
 type countedConn struct {
 	net.Conn
-	received *atomic.Int64
+	received, total *atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	c.total.Add(int64(n))
 	return n, err //nolint:wrapcheck // callers compare the errors of connections
 }
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,8 @@
 // members holds the addresses of the control members and a connection to each member that was called.
 type members struct {
 	dialer fleetrpc.Dialer
+	// received is the number of bytes that all connections have received.
+	received atomic.Int64
 
 	mu        sync.Mutex
 	addresses []string
@@ -39,7 +42,7 @@
 	conn, ok := m.conns[address]
 	if !ok {
 		var err error
-		if conn, err = dial(m.dialer, address); err != nil {
+		if conn, err = dial(m.dialer, address, &m.received); err != nil {
 			return nil, err
 		}
 		m.conns[address] = conn
@@ -47,17 +50,6 @@
 	return conn, nil
 }
 
-// received returns the number of bytes that the present connections have received.
-func (m *members) received() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var sum int64
-	for _, conn := range m.conns {
-		sum += conn.received.Load()
-	}
-	return sum
-}
-
 // closeConnection closes a connection whose calls time out, so that the next call opens a new one. A stalled connection
 // may carry no data while new connections work.
 func (m *members) closeConnection(address string) {
--- a/entry/control/unconfirmed.go
+++ b/entry/control/unconfirmed.go
@@ -30,11 +30,11 @@
 		case c.freshAt.Load() < 0:
 			// No view was ever confirmed.
 		case !late && age > c.config.ReportAge:
-			since, received = sinceBoot()-age, c.members.received()
+			since, received = sinceBoot()-age, c.members.received.Load()
 			c.config.Events.Write(event.ViewUnconfirmed, func(e *log.Entry) { c.describeAge(e).Int64("viewAgeMs", age.Milliseconds()) })
 		case late && age < c.config.ReportAge:
 			outage := sinceBoot() - since
-			arrived := c.members.received() - received
+			arrived := c.members.received.Load() - received
 			since = 0
 			c.config.Events.Write(event.ViewConfirmed, func(e *log.Entry) {
 				c.describeAge(e).Int64("ms", outage.Milliseconds()).Int64("receivedBytes", arrived)
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -18,9 +19,11 @@
 const (
 	// watchTimeout ends a stream without events, unless one is arriving; the server sends an event at least every 500 ms.
 	watchTimeout = 2 * time.Second
-	// minEventProgress is the number of bytes within watchTimeout from which an event is taken to be arriving. Responses to keepalives
-	// on the same connection stay below it.
-	minEventProgress = 4 << 10
+	// minEventProgress is the number of bytes within watchTimeout from which an event is taken to be arriving. Pings of the connection
+	// stay below it.
+	minEventProgress = 1 << 10
+	// largeEventBytes is the size from which an event may take long to arrive.
+	largeEventBytes = 4 << 10
 	// firstEventTimeout bounds the wait for the first event of a stream, which a member sends at once. It doubles up to watchTimeout
 	// with each member that sends none, so that a busy entry does not leave every member too soon.
 	firstEventTimeout = attemptTimeout
@@ -56,17 +59,19 @@
 	return nil
 }
 
-// watch applies the events of a member's stream until the stream ends. It reports whether there was any event.
+// watch applies the events of a member's stream until the stream ends. It reports whether there was any event. The stream has a
+// connection of its own, so that what arrives there tells whether an event is on its way.
 func (c *Client) watch(ctx context.Context, address string, firstEvent time.Duration) (begun bool, err error) {
-	conn, err := c.members.connectionTo(address)
+	conn, err := dial(c.members.dialer, address, &c.members.received)
 	if err != nil {
 		return false, err
 	}
+	// Closing fails only for a connection that is closed.
+	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	progress := &eventProgress{received: conn.received.Load()}
-	timeout := newWatchTimer(firstEvent, func() bool { return progress.stopped(conn.received.Load()) }, cancel)
-	defer timeout.Stop()
+	dog := newWatchdog(conn, firstEvent, cancel)
+	defer dog.stop()
 	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index, AcceptsCompressed: true})
 	if err != nil {
 		return false, eris.Wrap(err, "open watch stream")
@@ -75,52 +80,66 @@
 		before := conn.received.Load()
 		e, err := stream.Recv()
 		if err != nil {
-			if ctx.Err() != nil {
-				// The connection may be stalled.
-				c.members.closeConnection(address)
-			}
 			return begun, eris.Wrap(err, "read watch stream")
 		}
 		begun = true
-		timeout.Reset(watchTimeout)
+		dog.eventArrived()
 		if err := c.handleEvent(e); err != nil {
 			return begun, err
 		}
 		// After a large event, it may be the link that took the time; the next event tells.
-		large := conn.received.Load()-before >= minEventProgress
+		large := conn.received.Load()-before >= largeEventBytes
 		if lag := c.lag(); lag > maxWatchLag && !large {
 			return begun, eris.Errorf("member %s is %v behind the leader", address, lag)
 		}
 	}
 }
 
-// eventProgress tells an event that takes long to arrive from a stream that has stopped.
-type eventProgress struct {
+// watchdog ends a watch stream on which no event arrives.
+type watchdog struct {
+	conn *connection
+	end  context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
 	// received is the number of bytes that the connection had received at the last check.
 	received int64
 }
 
-// stopped reports whether too few bytes for an event have arrived since the last check.
-func (p *eventProgress) stopped(received int64) bool {
-	arrived := received - p.received
-	p.received = received
-	return arrived < minEventProgress
+// newWatchdog returns a watchdog that ends the stream after the given time without an event.
+func newWatchdog(conn *connection, first time.Duration, end context.CancelFunc) *watchdog {
+	w := &watchdog{conn: conn, end: end}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(first, w.check)
+	return w
 }
 
-// newWatchTimer returns a timer that calls end once it has not been reset for first, and then watchTimeout, and stopped returns true.
-func newWatchTimer(first time.Duration, stopped func() bool, end func()) *time.Timer {
-	var timer *time.Timer
-	ready := make(chan struct{})
-	defer close(ready)
-	timer = time.AfterFunc(first, func() {
-		<-ready
-		if stopped() {
-			end()
-		} else {
-			timer.Reset(watchTimeout)
-		}
-	})
-	return timer
+// check ends the stream, unless an event is on its way.
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	received := w.conn.received.Load()
+	if received-w.received < minEventProgress {
+		w.end()
+		return
+	}
+	w.received = received
+	w.timer.Reset(watchTimeout)
+}
+
+// eventArrived gives the next event its time.
+func (w *watchdog) eventArrived() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.received = w.conn.received.Load()
+	w.timer.Reset(watchTimeout)
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
 }
 
 // handleEvent replaces the view with the next one. It returns an error if the event has an older index than the view.
