Origins of streams: two copies also while a member does not answer

Of the two members chosen by the request, one that did not answer left one copy, and two left none. The next ones are asked instead, as they are when an origin is looked up. The fake of the test answered a call whose deadline had passed, which made the test fail once in this form of it (a silent member counted as one that does not know); it returns an error now.

--- a/entry/control/origins.go
+++ b/entry/control/origins.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,25 +44,31 @@
 	return addresses
 }
 
-// RecordOrigin stores where the response to a request began at several control members. It calls stored when the first has it, and
-// returns when each has answered or failed.
+// RecordOrigin stores where the response to a request began at originCopies control members. It calls stored when the first has it, and
+// returns when all of them have, or no further member is left to try.
 func (c *Client) RecordOrigin(ctx context.Context, o Origin, stored func()) {
 	request := &fleetpb.RecordOriginRequest{
 		Customer: o.Customer, RequestId: o.RequestID, SoftwareVersion: o.SoftwareVersion, KeepMillis: uint32(o.Keep.Milliseconds()),
 	}
 	var once sync.Once
+	var tried atomic.Int32
 	var group errgroup.Group
 	members := c.originMembers(o.Customer, o.RequestID)
-	for _, address := range members[:min(originCopies, len(members))] {
+	for range originCopies {
 		group.Go(func() error {
-			_, err := c.members.callMember(ctx, address, originTimeout, func(ctx context.Context, client fleetpb.FleetClient) error {
-				_, err := client.RecordOrigin(ctx, request)
-				return err
-			})
-			if err == nil {
-				once.Do(stored)
+			for {
+				i := int(tried.Add(1)) - 1
+				if i >= len(members) || ctx.Err() != nil {
+					return nil
+				}
+				if _, err := c.members.callMember(ctx, members[i], originTimeout, func(ctx context.Context, client fleetpb.FleetClient) error {
+					_, err := client.RecordOrigin(ctx, request)
+					return err
+				}); err == nil {
+					once.Do(stored)
+					return nil
+				}
 			}
-			return nil
 		})
 	}
 	// The goroutines return no error.
--- a/entry/control/origins_test.go
+++ b/entry/control/origins_test.go
@@ -24,18 +24,23 @@
 	m.silent = silent
 }
 
-func (m *originMember) wait(ctx context.Context) {
+// wait returns an error when the context of a call to a silent member has ended.
+func (m *originMember) wait(ctx context.Context) error {
 	m.mu.Lock()
 	silent := m.silent
 	m.mu.Unlock()
-	if silent {
-		<-ctx.Done()
+	if !silent {
+		return nil
 	}
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 // RecordOrigin implements fleetpb.FleetServer.
 func (m *originMember) RecordOrigin(ctx context.Context, r *fleetpb.RecordOriginRequest) (*fleetpb.RecordOriginResponse, error) {
-	m.wait(ctx)
+	if err := m.wait(ctx); err != nil {
+		return nil, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.origins[r.Customer+"/"+r.RequestId] = r.SoftwareVersion
@@ -44,7 +49,9 @@
 
 // FindOrigin implements fleetpb.FleetServer.
 func (m *originMember) FindOrigin(ctx context.Context, r *fleetpb.FindOriginRequest) (*fleetpb.FindOriginResponse, error) {
-	m.wait(ctx)
+	if err := m.wait(ctx); err != nil {
+		return nil, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	version, ok := m.origins[r.Customer+"/"+r.RequestId]
@@ -75,6 +82,12 @@
 			t.Errorf("got %d reports that the origin is stored, want 1", stored)
 		}
 		members[silent].setSilent(true)
+		client.RecordOrigin(ctx, Origin{Customer: "c", RequestID: "late" + id, SoftwareVersion: "v1", Keep: time.Minute}, func() {})
+		for i, m := range members {
+			if _, got := m.origins["c/late"+id]; got != (i != silent) {
+				t.Errorf("member %d silent: member %d has the origin: got %v, want %v", silent, i, got, i != silent)
+			}
+		}
 		if got, err := client.FindOrigin(ctx, "c", id); err != nil || got != "v1" {
 			t.Errorf("member %d silent: got %q, %v, want v1", silent, got, err)
 		}
