Streams that callers take up again go on at the service that began them

On a route with several services, a stream that its caller took up again went on at any of them: versions of software were compared, but not the services that they belong to, and two services may name a version alike. The record of a stream's origin holds the service, too. If the route no longer leads there, the request is refused, not run; without a record, a stream goes on only where the route has one service.

--- a/control/fleet/origin.go
+++ b/control/fleet/origin.go
@@ -12,14 +12,14 @@
 // RecordOrigin implements fleetpb.FleetServer.
 func (s *Service) RecordOrigin(_ context.Context, r *fleetpb.RecordOriginRequest) (*fleetpb.RecordOriginResponse, error) {
 	keep := time.Duration(r.KeepMillis) * time.Millisecond
-	s.origins.Put(time.Now(), origin.Key{Customer: r.Customer, RequestID: r.RequestId}, r.SoftwareVersion, keep)
+	s.origins.Put(time.Now(), origin.Key{Customer: r.Customer, RequestID: r.RequestId}, origin.Origin{Service: r.Service, SoftwareVersion: r.SoftwareVersion}, keep)
 	return &fleetpb.RecordOriginResponse{}, nil
 }
 
 // FindOrigin implements fleetpb.FleetServer.
 func (s *Service) FindOrigin(_ context.Context, r *fleetpb.FindOriginRequest) (*fleetpb.FindOriginResponse, error) {
-	version, found := s.origins.Get(time.Now(), origin.Key{Customer: r.Customer, RequestID: r.RequestId})
-	return &fleetpb.FindOriginResponse{Found: found, SoftwareVersion: version}, nil
+	o, found := s.origins.Get(time.Now(), origin.Key{Customer: r.Customer, RequestID: r.RequestId})
+	return &fleetpb.FindOriginResponse{Found: found, Service: o.Service, SoftwareVersion: o.SoftwareVersion}, nil
 }
 
 // ConfirmView implements fleetpb.FleetServer.
--- a/control/origin/store.go
+++ b/control/origin/store.go
@@ -1,5 +1,5 @@
-// Package origin keeps in memory at which software version of their service the responses to requests began, so that an interrupted
-// response goes on at no other version. What a member has lost with its process is known to others, or the response does not go on.
+// Package origin keeps in memory at which service and software version the responses to requests began, so that an interrupted response
+// goes on at no other one. What a member has lost with its process is known to others, or the response does not go on.
 package origin
 
 import (
@@ -18,10 +18,13 @@
 // Key identifies a request. The customer is part of it, so that no customer changes the records of another one.
 type Key struct{ Customer, RequestID string }
 
+// Origin is where the response to a request began.
+type Origin struct{ Service, SoftwareVersion string }
+
 type record struct {
-	key     Key
-	version string
-	// conflicting is set if the key was recorded with two versions.
+	key    Key
+	origin Origin
+	// conflicting is set if the key was recorded with two origins.
 	conflicting bool
 	until       time.Time
 }
@@ -37,9 +40,8 @@
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{records: map[Key]*list.Element{}, order: list.New()} }
 
-// Put records the version at which the response to a request began. A request that was recorded with another version counts as
-// unknown from then on.
-func (s *Store) Put(now time.Time, key Key, version string, keep time.Duration) {
+// Put records where the response to a request began. A request that was recorded with another origin counts as unknown from then on.
+func (s *Store) Put(now time.Time, key Key, o Origin, keep time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for oldest := s.order.Front(); oldest != nil; oldest = s.order.Front() {
@@ -52,20 +54,20 @@
 	}
 	if known := s.records[key]; known != nil {
 		r := known.Value.(*record)
-		r.conflicting = r.conflicting || r.version != version
+		r.conflicting = r.conflicting || r.origin != o
 		return
 	}
-	s.records[key] = s.order.PushBack(&record{key: key, version: version, until: now.Add(min(keep, maxKeep))})
+	s.records[key] = s.order.PushBack(&record{key: key, origin: o, until: now.Add(min(keep, maxKeep))})
 }
 
-// Get returns the version at which the response to a request began, and whether it is known.
-func (s *Store) Get(now time.Time, key Key) (version string, ok bool) {
+// Get returns where the response to a request began, and whether that is known.
+func (s *Store) Get(now time.Time, key Key) (o Origin, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.records[key]
 	if known == nil {
-		return "", false
+		return Origin{}, false
 	}
 	r := known.Value.(*record)
-	return r.version, !r.conflicting && now.Before(r.until)
+	return r.origin, !r.conflicting && now.Before(r.until)
 }
--- a/entry/control/origins.go
+++ b/entry/control/origins.go
@@ -16,10 +16,10 @@
 	"azuredoor.example/core/fleetpb"
 )
 
-// Origin says at which software version of its service the response to a request began.
+// Origin says at which service, and at which version of its software, the response to a request began.
 type Origin struct {
 	// Customer is empty on open routes.
-	Customer, RequestID, SoftwareVersion string
+	Customer, RequestID, Service, SoftwareVersion string
 	// Keep is how long the response may be taken up again.
 	Keep time.Duration
 }
@@ -48,7 +48,7 @@
 // returns when all of them have, or no further member is left to try.
 func (c *Client) RecordOrigin(ctx context.Context, o Origin, stored func()) {
 	request := &fleetpb.RecordOriginRequest{
-		Customer: o.Customer, RequestId: o.RequestID, SoftwareVersion: o.SoftwareVersion, KeepMillis: uint32(o.Keep.Milliseconds()),
+		Customer: o.Customer, RequestId: o.RequestID, Service: o.Service, SoftwareVersion: o.SoftwareVersion, KeepMillis: uint32(o.Keep.Milliseconds()),
 	}
 	var once sync.Once
 	var tried atomic.Int32
@@ -75,29 +75,29 @@
 	_ = group.Wait()
 }
 
-// FindOrigin returns the software version at which the response to a request began, ErrNoOrigin if no member knows it, or another
-// error if not all members could be asked.
-func (c *Client) FindOrigin(ctx context.Context, customer, request string) (string, error) {
+// FindOrigin returns where the response to a request began, ErrNoOrigin if no member knows it, or another error if not all members could
+// be asked.
+func (c *Client) FindOrigin(ctx context.Context, customer, request string) (Origin, error) {
 	members := c.originMembers(customer, request)
 	copies := min(originCopies, len(members))
-	version, err := c.askOrigin(ctx, members[:copies], customer, request)
+	origin, err := c.askOrigin(ctx, members[:copies], customer, request)
 	if err == nil || copies == len(members) {
-		return version, err
+		return origin, err
 	}
 	// The group may have had other members when the origin was stored.
-	version, restErr := c.askOrigin(ctx, members[copies:], customer, request)
+	origin, restErr := c.askOrigin(ctx, members[copies:], customer, request)
 	if restErr == nil || errors.Is(err, ErrNoOrigin) {
-		return version, restErr
+		return origin, restErr
 	}
-	return "", err
+	return Origin{}, err
 }
 
-// askOrigin asks members at the same time and returns the first version that one knows.
-func (c *Client) askOrigin(ctx context.Context, members []string, customer, request string) (string, error) {
+// askOrigin asks members at the same time and returns the first origin that one knows.
+func (c *Client) askOrigin(ctx context.Context, members []string, customer, request string) (Origin, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var mu sync.Mutex
-	var version string
+	var origin Origin
 	result := ErrNoOrigin
 	found := false
 	var group errgroup.Group
@@ -115,7 +115,8 @@
 			case err != nil:
 				result = eris.Wrapf(err, "ask %s where a response began", address)
 			case response.Found:
-				version, result, found = response.SoftwareVersion, nil, true
+				origin = Origin{Customer: customer, RequestID: request, Service: response.Service, SoftwareVersion: response.SoftwareVersion}
+				result, found = nil, true
 				cancel()
 			}
 			return nil
@@ -123,7 +124,7 @@
 	}
 	// The goroutines return no error.
 	_ = group.Wait()
-	return version, result
+	return origin, result
 }
 
 // ConfirmView waits until the view holds all that the control group knew at the call.
--- a/entry/control/origins_test.go
+++ b/entry/control/origins_test.go
@@ -14,7 +14,7 @@
 type originMember struct {
 	fakeMember
 	mu      sync.Mutex
-	origins map[string]string
+	origins map[string]*fleetpb.RecordOriginRequest
 	silent  bool
 }
 
@@ -43,7 +43,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.origins[r.Customer+"/"+r.RequestId] = r.SoftwareVersion
+	m.origins[r.Customer+"/"+r.RequestId] = r
 	return &fleetpb.RecordOriginResponse{}, nil
 }
 
@@ -54,8 +54,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	version, ok := m.origins[r.Customer+"/"+r.RequestId]
-	return &fleetpb.FindOriginResponse{Found: ok, SoftwareVersion: version}, nil
+	o, ok := m.origins[r.Customer+"/"+r.RequestId]
+	return &fleetpb.FindOriginResponse{Found: ok, Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()}, nil
 }
 
 // ConfirmView implements fleetpb.FleetServer.
@@ -69,7 +69,7 @@
 	members := make([]*originMember, 3)
 	var addresses []string
 	for i := range members {
-		members[i] = &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent)}, origins: map[string]string{}}
+		members[i] = &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent)}, origins: map[string]*fleetpb.RecordOriginRequest{}}
 		addresses = append(addresses, serveMember(t, members[i]))
 	}
 	client := startClient(t, addresses...)
@@ -77,7 +77,7 @@
 	for silent := range members {
 		id := string(rune('a' + silent))
 		stored := 0
-		client.RecordOrigin(ctx, Origin{Customer: "c", RequestID: id, SoftwareVersion: "v1", Keep: time.Minute}, func() { stored++ })
+		client.RecordOrigin(ctx, Origin{Customer: "c", RequestID: id, Service: "s", SoftwareVersion: "v1", Keep: time.Minute}, func() { stored++ })
 		if stored != 1 {
 			t.Errorf("got %d reports that the origin is stored, want 1", stored)
 		}
@@ -88,8 +88,8 @@
 				t.Errorf("member %d silent: member %d has the origin: got %v, want %v", silent, i, got, i != silent)
 			}
 		}
-		if got, err := client.FindOrigin(ctx, "c", id); err != nil || got != "v1" {
-			t.Errorf("member %d silent: got %q, %v, want v1", silent, got, err)
+		if got, err := client.FindOrigin(ctx, "c", id); err != nil || got.Service != "s" || got.SoftwareVersion != "v1" {
+			t.Errorf("member %d silent: got %+v, %v, want v1 of s", silent, got, err)
 		}
 		if _, err := client.FindOrigin(ctx, "c", "never"+id); err == nil || errors.Is(err, ErrNoOrigin) {
 			t.Errorf("never recorded, member %d silent: got %v, want an error that leaves it open", silent, err)
@@ -103,7 +103,7 @@
 
 // TestConfirmViewWaits guards against a view that counts as the newest although the leader knows of a later change.
 func TestConfirmViewWaits(t *testing.T) {
-	member := &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent, 4)}, origins: map[string]string{}}
+	member := &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent, 4)}, origins: map[string]*fleetpb.RecordOriginRequest{}}
 	client := startClient(t, serveMember(t, member))
 	member.configure(func() { member.stateIndex = 8 })
 	member.events <- &fleetpb.WatchEvent{Reset_: true, Index: 7}
--- a/entry/web/origin_test.go
+++ b/entry/web/origin_test.go
@@ -12,32 +12,33 @@
 
 	"github.com/valyala/fasthttp"
 
+	"azuredoor.example/core/document"
 	"azuredoor.example/core/fleetpb"
 	"azuredoor.example/entry/control"
 )
 
 // fakeOrigins keeps origins as the control group does.
 type fakeOrigins struct {
-	mu       sync.Mutex
-	versions map[string]string
+	mu      sync.Mutex
+	origins map[string]control.Origin
 	// findErr is the error for origins that are not known, confirmErr that of ConfirmView.
 	findErr, confirmErr error
 }
 
 func (f *fakeOrigins) RecordOrigin(_ context.Context, o control.Origin, stored func()) {
 	f.mu.Lock()
-	f.versions[o.Customer+"/"+o.RequestID] = o.SoftwareVersion
+	f.origins[o.Customer+"/"+o.RequestID] = o
 	f.mu.Unlock()
 	stored()
 }
 
-func (f *fakeOrigins) FindOrigin(_ context.Context, customer, request string) (string, error) {
+func (f *fakeOrigins) FindOrigin(_ context.Context, customer, request string) (control.Origin, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version, ok := f.versions[customer+"/"+request]; ok {
-		return version, nil
+	if origin, ok := f.origins[customer+"/"+request]; ok {
+		return origin, nil
 	}
-	return "", f.findErr
+	return control.Origin{}, f.findErr
 }
 
 func (f *fakeOrigins) ConfirmView(context.Context) error { return f.confirmErr }
@@ -73,7 +74,7 @@
 			})
 			second := startUpstream(t, streamScript(false))
 			b := newTestRouter(t, nil, nil, []*upstream{first, second})
-			b.useVersions(&fakeOrigins{versions: map[string]string{}}, "v1", other)
+			b.useVersions(&fakeOrigins{origins: map[string]control.Origin{}}, "v1", other)
 			for i := range 10 {
 				begun, taken := len(first.requests()), len(second.requests())
 				got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"})
@@ -98,7 +99,7 @@
 func TestTakenUpStreamKeepsItsSoftwareVersion(t *testing.T) {
 	unreachable := errors.New("no member answers")
 	for name, test := range map[string]struct {
-		recorded            string
+		recorded, service   string
 		versions            []string
 		down                int
 		findErr, confirmErr error
@@ -108,6 +109,7 @@
 		"recorded at the old one":         {recorded: "v1", versions: []string{"v2", "v1"}, want: "v1"},
 		"recorded at the new one":         {recorded: "v2", versions: []string{"v2", "v1"}, want: "v2"},
 		"its version has left":            {recorded: "v1", versions: []string{"v2", "v2"}},
+		"its service left the route":      {recorded: "v1", service: "s", versions: []string{"v1", "v1"}},
 		"not recorded, one version":       {versions: []string{"v1", "v1"}, findErr: control.ErrNoOrigin, want: "v1"},
 		"not recorded, two versions":      {versions: []string{"v1", "v2"}, findErr: control.ErrNoOrigin},
 		"not recorded, one has left":      {versions: []string{"v2", "v1"}, down: 2, findErr: control.ErrNoOrigin},
@@ -121,9 +123,9 @@
 		t.Run(name, func(t *testing.T) {
 			engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
 			b := newTestRouter(t, nil, nil, engines)
-			origins := &fakeOrigins{versions: map[string]string{}, findErr: test.findErr, confirmErr: test.confirmErr}
+			origins := &fakeOrigins{origins: map[string]control.Origin{}, findErr: test.findErr, confirmErr: test.confirmErr}
 			if test.recorded != "" {
-				origins.versions["c/first"] = test.recorded
+				origins.origins["c/first"] = control.Origin{Service: firstNonEmpty(test.service, "e"), SoftwareVersion: test.recorded}
 			}
 			if test.down > 0 {
 				b.control.view.Upstreams["edecode"+strconv.Itoa(test.down-1)].State = fleetpb.UpstreamState_UPSTREAM_STATE_DOWN
@@ -149,7 +151,7 @@
 func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
 	engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
 	b := newTestRouter(t, nil, nil, engines)
-	origins := &slowOrigins{fakeOrigins: fakeOrigins{versions: map[string]string{}}, delay: originStoreWait / 2}
+	origins := &slowOrigins{fakeOrigins: fakeOrigins{origins: map[string]control.Origin{}}, delay: originStoreWait / 2}
 	b.useVersions(origins, "v1", "v2")
 	began := time.Now()
 	if got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100"}); got.status != 200 || got.truncated {
@@ -162,8 +164,8 @@
 	if len(engines[1].requests()) > 0 {
 		want = "v2"
 	}
-	if got := origins.versions["c/request-1"]; got != want {
-		t.Errorf("got origin %q, want %q", got, want)
+	if got := origins.origins["c/request-1"]; got.Service != "e" || got.SoftwareVersion != want {
+		t.Errorf("got origin %+v, want %q of e", got, want)
 	}
 }
 
@@ -177,3 +179,29 @@
 	time.Sleep(s.delay)
 	s.fakeOrigins.RecordOrigin(ctx, o, stored)
 }
+
+// TestTakenUpStreamKeepsItsService guards against a stream of a route with several services that goes on at another one, whose software
+// may have the same version.
+func TestTakenUpStreamKeepsItsService(t *testing.T) {
+	first, second := startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))
+	b := newTestRouter(t, []*upstream{second}, nil, []*upstream{first})
+	for _, route := range b.control.view.Document.Routes {
+		if route.Name == "stream" {
+			route.Targets = []document.Target{{Service: "e", Weight: 1}, {Service: "s", Weight: 9}}
+		}
+	}
+	origins := &fakeOrigins{origins: map[string]control.Origin{"c/first": {Service: "e"}}, findErr: control.ErrNoOrigin}
+	b.useVersions(origins, "")
+	for i, continues := range []string{"first", "first", "first", "first", "first", "first", "unknown", "unknown"} {
+		want := 200
+		if continues == "unknown" {
+			want = 503
+		}
+		if got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100", "After": "3", "Continues": continues}); got.status != want {
+			t.Errorf("stream %d: got status %d, want %d", i, got.status, want)
+		}
+	}
+	if got := len(second.requests()); got != 0 {
+		t.Errorf("got %d requests at the other service, want none", got)
+	}
+}
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -165,9 +165,12 @@
 	q.ctx, q.cancel = context.WithDeadline(q.x.Context, q.deadline)
 	q.service = q.route.PickService(rand.Uint64())
 	q.need = place.Need{
-		Service: q.service, Work: 1, FailureDomain: q.router.config.FailureDomain, Regions: document.AllowedRegions(q.route, q.customer),
-		Repeatable: q.idempotent(),
+		Work: 1, FailureDomain: q.router.config.FailureDomain, Regions: document.AllowedRegions(q.route, q.customer), Repeatable: q.idempotent(),
 	}
+	if refused := q.findOrigin(); refused != nil {
+		return refused
+	}
+	q.need.Service = q.service
 	if s := q.document.Services[q.service]; s.Engine != nil {
 		q.need.Role = place.RoleDecode
 		q.expectedOutput = q.router.expectedOutput(q.service, q.call)
--- a/entry/web/router.go
+++ b/entry/web/router.go
@@ -50,14 +50,14 @@
 	Changed()
 }
 
-// Origins keeps outside this process at which software versions the responses to callers began.
+// Origins keeps outside this process where the responses to callers began.
 type Origins interface {
 	// RecordOrigin stores where the response to a request began. It calls stored once that outlives this process, and returns when
 	// all copies are stored or have failed.
 	RecordOrigin(ctx context.Context, o control.Origin, stored func())
-	// FindOrigin returns the software version at which the response to a request began. It returns control.ErrNoOrigin if that is
-	// not recorded, and another error if some records could not be asked.
-	FindOrigin(ctx context.Context, customer, request string) (version string, err error)
+	// FindOrigin returns where the response to a request began. It returns control.ErrNoOrigin if that is not recorded, and another
+	// error if some records could not be asked.
+	FindOrigin(ctx context.Context, customer, request string) (control.Origin, error)
 	// ConfirmView waits until the view holds all that the control group knew at the call.
 	ConfirmView(ctx context.Context) error
 }
--- a/entry/web/stream.go
+++ b/entry/web/stream.go
@@ -50,10 +50,6 @@
 
 // serveStream serves a request whose response is an event stream.
 func (q *request) serveStream() {
-	if refused := q.findOrigin(); refused != nil {
-		q.refuse(refused)
-		return
-	}
 	lastID := ""
 	promptSent := false
 	var unusedPrefill Forwarding
