--- a/entry/web/origin.go
+++ b/entry/web/origin.go
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, confirmTimeout)
 	defer cancel()
 	if err := q.router.config.Origins.ConfirmView(ctx); err != nil {
-		return control.Origin{}, err //nolint:wrapcheck // only its kind is used
+		return control.Origin{}, err
 	}
 	if origin, only := q.onlyOrigin(); only {
 		return origin, nil
