TestGroupServesOperatorsAndEntries: a follower may not have applied a change yet

A change is acknowledged once a majority has stored it, and read through a follower at the leader; that follower itself applies it with a later message of the leader. Nothing promises the first event of its watch stream the change: an entry takes a view for current only when the leader's response to a keepalive says so. The test now follows the stream to the change, and requires that the first event holds the whole state, that none before the change holds an object, and that the change comes with revision 1 and the object's version 1, which the old one did not check.

Read, not reproduced by a run of its own: the events in between come only if the follower is late.

--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -240,9 +240,21 @@
 		t.Fatal(err)
 	}
 	event, err := watch.Recv()
-	if err != nil || !event.Reset_ || len(event.Objects) != 1 {
+	if err != nil || !event.Reset_ {
 		t.Fatalf("first watch event: got %v %v, want the whole state", event, err)
 	}
+	for event.Revision == 0 {
+		// This member had not applied the change yet, although the group had.
+		if len(event.Objects) != 0 {
+			t.Fatalf("watch event before the change: got %v, want no object", event)
+		}
+		if event, err = watch.Recv(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if event.Revision != 1 || len(event.Objects) != 1 || event.Objects[0].Version != 1 {
+		t.Fatalf("watch event of the change: got %v, want the object at revision 1", event)
+	}
 	alive, err := client.Keepalive(ctx, &fleetpb.KeepaliveRequest{SessionId: opened.SessionId, ConfigRevision: 1})
 	if err != nil || alive.SessionEnded || alive.StateIndex < opened.SessionId {
 		t.Fatalf("keepalive: got %v %v, want an open session and a state index of at least the session ID", alive, err)
