--- a/control/origin/store.go
+++ b/control/origin/store.go
@@ -1,5 +1,5 @@
 // Package origin keeps in memory at which service and software version the responses to requests began, so that an interrupted response
-// goes on at no other one. What a member has lost with its process is known to others, or the response does not go on.
+// is continued by no other one. A record that is lost with its process is found at another member, or the response is not continued.
 package origin
 
 import (
--- a/entry/control/origins_test.go
+++ b/entry/control/origins_test.go
@@ -117,3 +117,29 @@
 		t.Errorf("got %v at index %d, want the view at index 8", err, client.View().Index)
 	}
 }
+
+// TestSoftwareVersionsOfView guards against a view that still has the software versions of an earlier one.
+func TestSoftwareVersionsOfView(t *testing.T) {
+	member := &originMember{fakeMember: fakeMember{events: make(chan *fleetpb.WatchEvent, 4)}, origins: map[string]*fleetpb.RecordOriginRequest{}}
+	client := startClient(t, serveMember(t, member))
+	upstream := func(id, version string) *fleetpb.Upstream {
+		return &fleetpb.Upstream{Id: id, Pool: "s", SoftwareVersion: version}
+	}
+	for i, step := range []struct {
+		event *fleetpb.WatchEvent
+		want  int
+	}{
+		{&fleetpb.WatchEvent{Reset_: true, Upstreams: []*fleetpb.Upstream{upstream("a", "v1"), upstream("b", "v1")}}, 1},
+		{&fleetpb.WatchEvent{Upstreams: []*fleetpb.Upstream{upstream("b", "v2")}}, 2},
+		{&fleetpb.WatchEvent{Sessions: []*fleetpb.Session{{Id: 1}}}, 2},
+		{&fleetpb.WatchEvent{RemovedUpstreams: []string{"a"}}, 1},
+		{&fleetpb.WatchEvent{Reset_: true}, 0},
+	} {
+		step.event.Index = uint64(i + 1)
+		member.events <- step.event
+		waitFor(t, "the event", func() bool { return client.View().Index == step.event.Index })
+		if got := client.View().SoftwareVersions("s"); len(got) != step.want {
+			t.Errorf("step %d: got versions %q, want %d", i+1, got, step.want)
+		}
+	}
+}
--- a/entry/control/view.go
+++ b/entry/control/view.go
@@ -35,6 +35,8 @@
 	Regions map[string]string
 	// announced holds the upstreams as they announced themselves.
 	announced map[string]*fleetpb.Upstream
+	// versions holds the software versions of upstreams by pool; nil in a view that no event has changed.
+	versions map[string][]string
 	// coldUntil holds, by ID, when upstreams that may be cold are warm at the latest.
 	coldUntil map[string]time.Time
 }
@@ -63,10 +65,18 @@
 
 // SoftwareVersions returns the software versions of all upstreams of a pool that are known, also of those that are down.
 func (v *View) SoftwareVersions(pool string) []string {
-	var versions []string
-	for _, u := range v.Upstreams {
-		if u.Pool == pool && !slices.Contains(versions, u.SoftwareVersion) {
-			versions = append(versions, u.SoftwareVersion)
+	if v.versions == nil {
+		return softwareVersions(v.Upstreams)[pool]
+	}
+	return v.versions[pool]
+}
+
+// softwareVersions returns the software versions of upstreams by pool.
+func softwareVersions(upstreams map[string]*fleetpb.Upstream) map[string][]string {
+	versions := map[string][]string{}
+	for _, u := range upstreams {
+		if !slices.Contains(versions[u.Pool], u.SoftwareVersion) {
+			versions[u.Pool] = append(versions[u.Pool], u.SoftwareVersion)
 		}
 	}
 	return versions
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -70,8 +70,8 @@
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dog := newWatchdog(conn, firstEvent, cancel)
-	defer dog.stop()
+	guard := newWatchdog(conn, firstEvent, cancel)
+	defer guard.stop()
 	stream, err := fleetpb.NewFleetClient(conn).Watch(ctx, &fleetpb.WatchRequest{AfterIndex: c.View().Index, AcceptsCompressed: true})
 	if err != nil {
 		return false, eris.Wrap(err, "open watch stream")
@@ -83,7 +83,7 @@
 			return begun, eris.Wrap(err, "read watch stream")
 		}
 		begun = true
-		dog.eventArrived()
+		guard.eventArrived()
 		if err := c.handleEvent(e); err != nil {
 			return begun, err
 		}
@@ -214,6 +214,9 @@
 		})
 	}
 	next.applyEvacuations(v)
+	if next.versions == nil || len(e.Upstreams)+len(e.RemovedUpstreams) > 0 {
+		next.versions = softwareVersions(next.announced)
+	}
 	next.observeCold(time.Now(), e)
 	return &next, true, nil
 }
--- a/entry/web/origin.go
+++ b/entry/web/origin.go
@@ -15,7 +15,7 @@
 	// originStoreWait bounds how long the first event of a stream waits until its origin is stored outside this process, if the
 	// service has several software versions.
 	originStoreWait = 100 * time.Millisecond
-	// originCallTimeout bounds the storing of an origin, which goes on after its first event.
+	// originCallTimeout bounds the storing of an origin, also after the first event was sent.
 	originCallTimeout = time.Second
 	// confirmTimeout bounds the wait for the newest view.
 	confirmTimeout = 400 * time.Millisecond
--- a/itest/version_test.go
+++ b/itest/version_test.go
@@ -5,28 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"testing"
-	"time"
 
 	"azuredoor.example/platform/standin"
 )
 
-// openStream sends a request for a stream of events and returns the response with its header read.
-func (p *platform) openStream(id string, fields map[string]string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(p.t.Context(), "POST", "http://"+p.entryAddress()+standin.StreamPath+"?events=200", strings.NewReader("hi"))
-	if err != nil {
-		return nil, err
-	}
-	request.Host = standin.Host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Authorization", "Bearer "+platformKey)
-	request.Header.Set("Deadline-Milliseconds", "6000")
-	for name, value := range fields {
-		request.Header.Set(name, value)
-	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 8 * time.Second}
-	return client.Do(request)
+// openStream sends a call for a stream that lasts longer than the test reads it.
+func (p *platform) openStream(id string, interrupted *standin.Interrupted) (*http.Response, string, error) {
+	return standin.OpenStream(p.t.Context(), p.entryAddress(), standin.Call{ID: id, Path: standin.StreamPath, Key: platformKey, Events: 200}, interrupted)
 }
 
 // TestStreamsKeepTheirSoftwareVersionWhenAllEntriesAreKilled guards against streams that their callers take up again, and that go on at
@@ -43,7 +29,7 @@
 			byVersion := map[string]int{}
 			p.await("streams at both versions", func() bool {
 				id := fmt.Sprint("first-", len(began))
-				response, err := p.openStream(id, nil)
+				response, version, err := p.openStream(id, nil)
 				if err != nil || response.StatusCode != 200 {
 					return false
 				}
@@ -54,7 +40,6 @@
 						return false
 					}
 				}
-				version := response.Header.Get("Instance-Id")
 				began[id] = version
 				byVersion[version]++
 				return len(began) >= streams && len(byVersion) == 2
@@ -65,7 +50,7 @@
 				}
 			})
 			p.await("the entry to serve", func() bool {
-				response, err := p.openStream("probe", nil)
+				response, _, err := p.openStream("probe", nil)
 				if err != nil {
 					return false
 				}
@@ -73,12 +58,12 @@
 				return response.StatusCode == 200
 			})
 			for id, version := range began {
-				response, err := p.openStream("second-"+id, map[string]string{"Last-Event-Id": "2", "Resumes": id})
+				response, got, err := p.openStream("second-"+id, &standin.Interrupted{ID: id, LastEvent: 2})
 				if err != nil {
 					t.Errorf("%s: got %v, want a response", id, err)
 					continue
 				}
-				if got := response.Header.Get("Instance-Id"); response.StatusCode == 200 && got != version {
+				if response.StatusCode == 200 && got != version {
 					t.Errorf("%s: began at %s and goes on at %s", id, version, got)
 				}
 				if want := !oldLeaves || version == "v2"; want != (response.StatusCode == 200) {
