--- a/entry/web/origin_test.go
+++ b/entry/web/origin_test.go
@@ -180,8 +180,8 @@
 	s.fakeOrigins.RecordOrigin(ctx, o, stored)
 }
 
-// TestTakenUpStreamKeepsItsService guards against a stream of a route with several services that goes on at another one, whose software
-// may have the same version.
+// TestTakenUpStreamKeepsItsService guards against a stream that is continued by another service of its route, whose software may have
+// the same version.
 func TestTakenUpStreamKeepsItsService(t *testing.T) {
 	first, second := startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))
 	b := newTestRouter(t, []*upstream{second}, nil, []*upstream{first})
--- a/entry/web/request.go
+++ b/entry/web/request.go
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// interrupted reports whether the caller may have part of the response, which is lost unless an upstream goes on with it.
+// interrupted reports whether the caller may have part of the response, which is useless unless an upstream continues it.
 func (q *request) interrupted() bool { return q.mayHaveRun || q.call.LastEvent != "" }
 
 // charge takes the request's tokens from the customer's token bucket.
--- a/itest/version_test.go
+++ b/itest/version_test.go
@@ -10,7 +10,7 @@
 	"azuredoor.example/platform/standin"
 )
 
-// openStream sends a call for a stream that lasts longer than the test reads it.
+// openStream sends a call for a stream of more events than the test reads.
 func (p *platform) openStream(id string, interrupted *standin.Interrupted) (*http.Response, string, error) {
 	return standin.OpenStream(p.t.Context(), p.entryAddress(), standin.Call{ID: id, Path: standin.StreamPath, Key: platformKey, Events: 200}, interrupted)
 }
