Responses with a blank in the name of a field are no responses

Callers saw: a 200 with the malformed line passed on, or, after "Content-Length : 4", a 200 whose body was cut to four bytes. An order to an engine, a reservation of memory, a prefill, a notice to leave and the copy of a hedged request counted by such a response as well, and one behind an interim response of that kind.

Cause: fasthttp takes blanks in the names of a response's fields, drops those before the colon, and joins a line that begins with a blank to the one before. What it reads then is not what the upstream sent.

Change: SkipInterim, which every reader of a response calls before fasthttp does, waits for the whole head and checks each line: a name that is a token (RFC 9110, 5.1), then a colon. Anything else fails the call like a broken connection: a request that may run again goes to another upstream, any other gets a 502. A head whose last line is a bare line feed is refused at once; it waited for more bytes until now.

Control bytes in names and status 000 were refused before; their tests stay.

--- a/entry/conn/interim.go
+++ b/entry/conn/interim.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -17,35 +19,96 @@
 )
 
 var (
-	errNoStatusLine = errors.New("received bytes are no response")
-	errSwitched     = errors.New("upstream switched protocols unasked")
-	errManyInterim  = errors.New("too many interim responses")
+	errNoStatusLine   = errors.New("received bytes are no response")
+	errSwitched       = errors.New("upstream switched protocols unasked")
+	errManyInterim    = errors.New("too many interim responses")
+	errMalformedField = errors.New("response has a malformed header field")
+	errLongHead       = errors.New("head of the response is too long")
 )
 
-// SkipInterim reads interim responses until another response begins. It returns an error if what follows is no response.
+// SkipInterim reads interim responses until the whole head of another response is buffered. It returns an error if the head of any of
+// them is malformed.
 func SkipInterim(r *bufio.Reader) error {
 	var header fasthttp.ResponseHeader
 	for range maxInterim {
 		line, err := r.Peek(len(statusLine))
-		if err == io.EOF && len(line) > 0 {
-			return io.ErrUnexpectedEOF
-		}
 		if err != nil {
-			return err //nolint:wrapcheck // wrapped by the call
+			return headError(err, len(line))
 		}
-		status := line[len(statusLine)-3:]
+		// The bytes that Peek returns are valid until the next read.
+		status := string(line[len(statusLine)-3:])
 		switch {
 		// fasthttp takes a status of 000 for 200.
 		case !bytes.HasPrefix(line, []byte(statusLine[:7])) || line[8] != ' ' || status[0] < '1' || status[0] > '9':
 			return errNoStatusLine
-		case status[0] != '1':
-			return nil
-		case string(status) == "101":
+		case status == "101":
 			return errSwitched
 		}
+		if err := checkHead(r); err != nil {
+			return err
+		}
+		if status[0] != '1' {
+			return nil
+		}
 		if err := header.Read(r); err != nil {
 			return err //nolint:wrapcheck // wrapped by the call
 		}
 	}
 	return errManyInterim
 }
+
+// checkHead waits until r has buffered the head of a response, and returns an error if the head has a malformed field. It consumes
+// nothing. fasthttp accepts blanks in the names of fields, drops those before a colon, and joins lines that begin with one, so that
+// another reader of HTTP would find other fields.
+func checkHead(r *bufio.Reader) error {
+	line, err := peekLine(r, 0)
+	if err != nil {
+		return err
+	}
+	_, err = peekFields(r, len(line))
+	return err
+}
+
+// peekFields waits until r has buffered lines of fields from an index on and the blank line after them. It returns the index where
+// they end, or an error if one of them is no field.
+func peekFields(r *bufio.Reader, from int) (end int, err error) {
+	for end = from; ; {
+		line, err := peekLine(r, end)
+		if err != nil {
+			return 0, err
+		}
+		end += len(line)
+		if string(line) == "\r\n" {
+			return end, nil
+		}
+		if name, _, found := bytes.Cut(line, []byte(":")); !found || !httpguts.ValidHeaderFieldName(string(name)) {
+			return 0, fmt.Errorf("%w: %.40q", errMalformedField, line)
+		}
+	}
+}
+
+// peekLine waits until r has buffered the line that begins at an index, and returns it with its line break.
+func peekLine(r *bufio.Reader, from int) ([]byte, error) {
+	for searched := from; ; {
+		// It never fails for what is buffered.
+		buffered, _ := r.Peek(r.Buffered())
+		if i := bytes.IndexByte(buffered[searched:], '\n'); i >= 0 {
+			return buffered[from : searched+i+1], nil
+		}
+		searched = len(buffered)
+		if _, err := r.Peek(searched + 1); err != nil {
+			return nil, headError(err, searched)
+		}
+	}
+}
+
+// headError returns the error of a call whose read of a head failed after some bytes had arrived.
+func headError(err error, received int) error {
+	switch {
+	case err == io.EOF && received > 0: //nolint:errorlint // Peek returns io.EOF bare
+		return io.ErrUnexpectedEOF
+	case errors.Is(err, bufio.ErrBufferFull):
+		return errLongHead
+	}
+	return err
+}
--- a/entry/order/send_test.go
+++ b/entry/order/send_test.go
@@ -20,6 +20,13 @@
 		"SMTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}":                               false,
 		"HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}":                               false,
 		"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n{}":                               false,
+		"HTTP/1.1 200 X\r\nX-Note : 1\r\nContent-Length: 2\r\n\r\n{}":                 false,
+		"HTTP/1.1 200 X\r\nX Note: 1\r\nContent-Length: 2\r\n\r\n{}":                  false,
+		"HTTP/1.1 200 X\r\nX-Note: 1\r\n X-Note: 2\r\nContent-Length: 2\r\n\r\n{}":    false,
+		"HTTP/1.1 200 X\r\nX-\x01Note: 1\r\nContent-Length: 2\r\n\r\n{}":              false,
+		"HTTP/1.1 202 X\r\nContent-Length : 2\r\n\r\n{}":                              false,
+		"HTTP/1.1 103 X\r\nX Note: 1\r\n\r\nHTTP/1.1 200 X\r\n\r\n{}":                 false,
+		"HTTP/1.1 200 X\r\n!#$%&'*+-.^_`|~: 1\r\nContent-Length: 2\r\n\r\n{}":         true,
 		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}\r\n": false,
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/entry/web/broken_test.go
+++ b/entry/web/broken_test.go
@@ -18,7 +18,8 @@
 }
 
 // TestBrokenResponses guards against a 200 with an empty or short body, framed as complete, for a response that broke off
-// in its head or its body, and against a stream that ends as complete although its upstream broke it off.
+// in its head or its body, against a stream that ends as complete although its upstream broke it off, and against a response
+// whose head is malformed.
 func TestBrokenResponses(t *testing.T) {
 	const signed = "HTTP/1.1 200 X\r\nId: request-1\r\nSigned: 1\r\n"
 	const events = signed + "Content-Type: text/event-stream\r\n"
@@ -50,6 +51,25 @@
 		"status of three, no space":         {"plain", "HTTP/1.1 200X\r\nId: request-1\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
 		"status with a sign":                {"plain", "HTTP/1.1 2+0 X\r\nId: request-1\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
 		"switch of protocols":               {"plain", "HTTP/1.1 101 X\r\nId: request-1\r\nSigned: 1\r\n\r\n", false, ""},
+		"blank before a colon":              {"plain", signed + "X-Note : 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blanks before a colon":             {"plain", signed + "X-Note  : 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"tab before a colon":                {"plain", signed + "X-Note\t: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blank in a name":                   {"plain", signed + "X Note: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blank before a name":               {"plain", signed + " X-Note: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"control byte in a name":            {"plain", signed + "X-\x01Note: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"NUL before a colon":                {"plain", signed + "X-Note\x00: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"carriage return in a name":         {"plain", signed + "X\rNote: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"DEL in a name":                     {"plain", signed + "X-Note\x7f: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blank after the length":            {"plain", signed + "Content-Length : 4\r\n\r\nfine until here", false, ""},
+		"blank in the length":               {"plain", signed + "Content Length: 4\r\n\r\nfine", false, ""},
+		"blank after the ID":                {"plain", "HTTP/1.1 200 X\r\nId : request-1\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blank after the signature":         {"plain", "HTTP/1.1 200 X\r\nId: request-1\r\nSigned : 1\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"blank after the coding":            {"plain", signed + "Transfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", false, ""},
+		"blank in an interim head":          {"plain", "HTTP/1.1 103 X\r\nX Note: 1\r\n\r\n" + signed + "Content-Length: 4\r\n\r\nfine", false, ""},
+		"blank after an interim field":      {"plain", "HTTP/1.1 100 X\r\nX-Note : 1\r\n\r\n" + signed + "Content-Length: 4\r\n\r\nfine", false, ""},
+		"no colon":                          {"plain", signed + "X-Note\r\nContent-Length: 4\r\n\r\nfine", false, ""},
+		"names of all allowed bytes":        {"plain", signed + "!#$%&'*+-.^_`|~09azAZ: 1 : 2\r\nX-Note:1\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nfine", false, "fine"},
+		"names after an interim head":       {"plain", "HTTP/1.1 103 X\r\nx~|.: a b\r\n\r\n" + signed + "Content-Length: 4\r\n\r\nfine", false, "fine"},
 		"bare line ends, no blank line":     {"plain", "HTTP/1.1 200 X\nId: request-1\nSigned: 1\n", false, ""},
 		"no chunk":                          {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n", false, ""},
 		"part of a chunk":                   {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhal", false, ""},
@@ -71,6 +91,13 @@
 		"stream, no length":                 {"stream", events + "\r\n" + oneEvent, false, oneEvent},
 		"stream, length, short":             {"stream", events + "Content-Length: 40\r\n\r\n" + oneEvent, false, ""},
 		"stream, length":                    {"stream", events + "Content-Length: 15\r\n\r\n" + oneEvent, false, oneEvent},
+		"stream, blank before a colon":      {"stream", events + "X-Note : 1\r\nContent-Length: 15\r\n\r\n" + oneEvent, false, ""},
+		"stream, blank in a name":           {"stream", events + "X Note: 1\r\n\r\n" + oneEvent, false, ""},
+		"stream, blank before a name":       {"stream", events + " X-Note: 1\r\n\r\n" + oneEvent, false, ""},
+		"stream, blank after the type":      {"stream", signed + "Content-Type : text/event-stream\r\nContent-Length: 15\r\n\r\n" + oneEvent, false, ""},
+		"stream, blank after the length":    {"stream", events + "Content-Length : 15\r\n\r\n" + oneEvent + oneEvent, false, ""},
+		"stream, blank in an interim head":  {"stream", "HTTP/1.1 103 X\r\nX Note: 1\r\n\r\n" + events + "Content-Length: 15\r\n\r\n" + oneEvent, false, ""},
+		"stream, names of allowed bytes":    {"stream", events + "!#$%&'*+-.^_`|~09azAZ: 1 : 2\r\nContent-Length: 15\r\n\r\n" + oneEvent, false, oneEvent},
 		"stream, no chunk":                  {"stream", events + "Transfer-Encoding: chunked\r\n\r\n", false, ""},
 		"stream, no last chunk":             {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n", false, ""},
 		"stream, last chunk cut":            {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\n", false, ""},
--- a/entry/web/hedge_test.go
+++ b/entry/web/hedge_test.go
@@ -27,13 +27,14 @@
 		want   string
 		copies bool
 	}{
-		"first upstream slow":       {"/safe/x", 50, slow, nil, "second", true},
-		"no limit set":              {"/safe/x", 0, slow, nil, "first", false},
-		"may run once only":         {"/unsafe/x", 50, slow, nil, "first", false},
-		"route allows one attempt":  {"/open/x", 50, slow, nil, "first", false},
-		"both at the same moment":   {"/safe/x", 50, func(c net.Conn, r *fasthttp.Request) bool { time.Sleep(delay); return respond(c, r, 200, "", "first") }, nil, "", true},
-		"first fails, copy running": {"/safe/x", 50, func(net.Conn, *fasthttp.Request) bool { time.Sleep(2 * delay); return false }, slowly(4*delay, "second"), "second", true},
-		"copy fails, first running": {"/safe/x", 50, slow, func(net.Conn, *fasthttp.Request) bool { return false }, "first", true},
+		"first upstream slow":           {"/safe/x", 50, slow, nil, "second", true},
+		"no limit set":                  {"/safe/x", 0, slow, nil, "first", false},
+		"may run once only":             {"/unsafe/x", 50, slow, nil, "first", false},
+		"route allows one attempt":      {"/open/x", 50, slow, nil, "first", false},
+		"both at the same moment":       {"/safe/x", 50, func(c net.Conn, r *fasthttp.Request) bool { time.Sleep(delay); return respond(c, r, 200, "", "first") }, nil, "", true},
+		"first fails, copy running":     {"/safe/x", 50, func(net.Conn, *fasthttp.Request) bool { time.Sleep(2 * delay); return false }, slowly(4*delay, "second"), "second", true},
+		"copy malformed, first running": {"/safe/x", 50, slow, func(c net.Conn, r *fasthttp.Request) bool { return respond(c, r, 200, malformedField, "second") }, "first", true},
+		"copy fails, first running":     {"/safe/x", 50, slow, func(net.Conn, *fasthttp.Request) bool { return false }, "first", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
