Responses whose trailers have a malformed name are no responses

Callers saw: a 200 of a response in chunks whose trailers held a blank in the name of a field. An order counted as carried out by such a response, and the connection was kept for other calls. No trailer itself reached a caller.

Cause: as for heads, fasthttp accepts and drops blanks there, and it reads trailers itself when a body ends, after the check of the head.

Change: before a chunk is read, its size is looked at; before the last one, the trailers are waited for and checked like the fields of a head. fasthttp still decodes the chunks and reads the trailers. The reading of a response is in response.go, and orders use it in place of two calls of their own.

Evidence: without the change, 4 cases of TestBrokenResponses, the cases "X-Sum : 1", "X Sum: 1" and a continued line of TestTrailers, and 2 responses of TestOddResponseToOrder failed. All pass now. TestChunksInPieces sends a body byte by byte whose chunks look like ends and trailers; it passes.

--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -329,14 +329,14 @@
 		err = c.writer.Flush()
 	}
 	if err == nil {
-		err = c.readMatching(ctx, call, response, stream, reused)
+		body.reader, err = c.readMatching(ctx, call, response, stream, reused)
 	}
 	if err != nil {
 		failed := &Error{Address: c.address, Sent: c.writeStarted, ResponseStarted: c.responseStarted, Err: cause(ctx, c, err)}
 		body.finish(false)
 		return nil, failed
 	}
-	body.reader, body.stated = response.BodyStream(), response.Header.ContentLength()
+	body.stated = response.Header.ContentLength()
 	body.connectionClose, body.keepAlive = response.ConnectionClose(), p.keepAliveTimeout(&response.Header)
 	return body, nil
 }
@@ -352,73 +352,62 @@
 var ErrMismatchedResponse = errors.New("responses belong to other requests")
 
 // readMatching reads responses until one matches the call. In a streamed call it bounds the time until the header is complete,
-// so that bytes that arrive at intervals do not extend it.
-func (c *pooledConn) readMatching(ctx context.Context, call Call, response *fasthttp.Response, stream, reused bool) error {
+// so that bytes that arrive at intervals do not extend it, and returns a reader of the body, or nil if there is none.
+func (c *pooledConn) readMatching(ctx context.Context, call Call, response *fasthttp.Response, stream, reused bool) (io.Reader, error) {
 	if stream {
 		c.progressDeadline = time.Now().Add(c.firstByteTimeout + c.readTimeout)
 		defer func() { c.progressDeadline = time.Time{} }()
 	}
 	for range maxMismatched {
 		response.SkipBody = call.Request.Header.IsHead()
-		if err := SkipInterim(c.reader); err != nil {
-			return err
-		}
-		// A body that fasthttp buffers takes up memory for its stated length before any byte has arrived.
-		response.StreamBody = true
-		if err := response.ReadLimitBody(c.reader, call.maxBody()); err != nil {
-			return err //nolint:wrapcheck // wrapped by the call
+		source, err := readHead(c.reader, response)
+		if err != nil {
+			return nil, err
 		}
 		if !stream {
-			if err := c.bufferBody(ctx, response, call.maxBody()); err != nil {
-				return err
+			if err := c.bufferBody(ctx, response, source, call.maxBody()); err != nil {
+				return nil, err
 			}
+			source = nil
 		}
 		if call.Match == nil || call.Match(response, reused) {
-			return nil
+			return source, nil
 		}
 		if call.matchFirst && !reused {
-			return ErrMismatchedResponse
+			return nil, ErrMismatchedResponse
 		}
-		if stream {
-			_, err := io.CopyN(io.Discard, response.BodyStream(), maxMismatchedBytes)
+		if source != nil {
+			_, err := io.CopyN(io.Discard, source, maxMismatchedBytes)
 			if err == nil {
-				return ErrMismatchedResponse
+				return nil, ErrMismatchedResponse
 			}
 			if err != io.EOF { //nolint:errorlint // CopyN returns io.EOF bare
-				return err //nolint:wrapcheck // wrapped by the call
+				return nil, err //nolint:wrapcheck // wrapped by the call
 			}
 			// Closing the stream only returns it to its pool.
 			_ = response.CloseBodyStream()
 		}
 		response.Reset()
 	}
-	return ErrMismatchedResponse
+	return nil, ErrMismatchedResponse
 }
 
-// bufferBody replaces the body stream of a response with the whole body.
-func (c *pooledConn) bufferBody(ctx context.Context, response *fasthttp.Response, limit int) error {
-	source := response.BodyStream()
+// bufferBody reads the body of a response into memory.
+func (c *pooledConn) bufferBody(ctx context.Context, response *fasthttp.Response, source io.Reader, limit int) error {
 	response.StreamBody = false
 	if source == nil {
 		return nil
 	}
-	length := response.Header.ContentLength()
-	body, err := c.pool.buffers.read(ctx, source, length, limit)
+	body, err := c.pool.buffers.read(ctx, source, response.Header.ContentLength(), limit)
 	if err != nil {
 		// Closing the stream only returns it to its pool.
 		_ = response.CloseBodyStream()
 		return err
 	}
-	response.SetBodyRaw(body)
-	if length == endsWithConnection {
-		response.Header.SetContentLength(len(body))
-	}
+	setBody(response, body)
 	return nil
 }
 
-// endsWithConnection is the content length by which fasthttp marks a body that ends with its connection.
-const endsWithConnection = -2
-
 // Body is the streamed body of a response. A Body is not safe for concurrent use.
 type Body struct {
 	pool       *Pool
--- a/entry/conn/head_test.go
+++ b/entry/conn/head_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // nameBytes are the bytes that the name of a field may consist of (RFC 9110, section 5.6.2).
@@ -64,3 +70,69 @@
 		}
 	}
 }
+
+// TestTrailers guards against a response that counts although a trailer is malformed, and against a connection that is kept after it.
+func TestTrailers(t *testing.T) {
+	long := strings.Repeat("X-Long: 0123456789\r\n", 300)
+	for trailers, want := range map[string]bool{
+		"":                          true,
+		"X-Sum: 1\r\n":              true,
+		"X-Sum: 1\r\nx-sum:\r\n":    true,
+		nameBytes + ": 1\r\n":       true,
+		"X-Sum: 1\r\n X-Sum: 2\r\n": false,
+		" X-Sum: 1\r\n":             false,
+		"X-Sum : 1\r\n":             false,
+		"X Sum: 1\r\n":              false,
+		"X-Sum\t: 1\r\n":            false,
+		"X-\x00Sum: 1\r\n":          false,
+		"X-Sum\r\n":                 false,
+		": 1\r\n":                   false,
+		"X-Sum: 1\n\n":              false,
+		long:                        false,
+		"0\r\n":                     false,
+	} {
+		for _, stream := range []bool{false, true} {
+			s, p := startRaw(t), NewPool(Options{})
+			status, got, err := s.get(t, p, rawText{"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailers + "\r\n", false}, stream)
+			if whole := err == nil && status == 200 && got == "body"; whole != want || err == nil && !whole {
+				t.Errorf("trailers %.40q, stream %v: got %d, %q, %v, want the response: %v", trailers, stream, status, got, err, want)
+			}
+			if kept := p.OpenConnections(s.address) == 1; kept != want {
+				t.Errorf("trailers %.40q, stream %v: got the connection kept: %v, want %v", trailers, stream, kept, want)
+			}
+			p.Close()
+		}
+	}
+}
+
+// TestChunksInPieces guards against chunks whose bytes are taken for trailers, or are lost, when they arrive or are read one by one.
+func TestChunksInPieces(t *testing.T) {
+	const text = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n0\r\n\r\n00b;x=0\r\n0\r\nX Y: 1\r\n\r\nC\r\n0123456789ab\r\n000;x\r\nX-Sum: 1\r\n\r\n"
+	const want = "0\r\n0\r\nX Y: 1\r\n0123456789ab"
+	u := startUpstream(t, func(c net.Conn, _ int) bool {
+		for i := range len(text) {
+			if _, err := io.WriteString(c, text[i:i+1]); err != nil {
+				return false
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		return true
+	})
+	p := NewPool(Options{})
+	defer p.Close()
+	response := &fasthttp.Response{}
+	if err := p.Do(t.Context(), u.call(true), response); err != nil || string(response.Body()) != want {
+		t.Errorf("got %q, %v, want %q", response.Body(), err, want)
+	}
+	body, err := p.Stream(t.Context(), u.call(true), &fasthttp.Response{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer body.Close()
+	if got, err := io.ReadAll(iotest.OneByteReader(body)); err != nil || string(got) != want {
+		t.Errorf("streamed: got %q, %v, want %q", got, err, want)
+	}
+	if got := u.conns.Load(); got != 1 {
+		t.Errorf("got %d connections, want one for both calls", got)
+	}
+}
--- a/entry/conn/interim.go
+++ b/entry/conn/interim.go
@@ -26,9 +26,9 @@
 	errLongHead       = errors.New("head of the response is too long")
 )
 
-// SkipInterim reads interim responses until the whole head of another response is buffered. It returns an error if the head of any of
+// skipInterim reads interim responses until the whole head of another response is buffered. It returns an error if the head of any of
 // them is malformed.
-func SkipInterim(r *bufio.Reader) error {
+func skipInterim(r *bufio.Reader) error {
 	var header fasthttp.ResponseHeader
 	for range maxInterim {
 		line, err := r.Peek(len(statusLine))
--- /dev/null
+++ b/entry/conn/response.go
@@ -0,0 +1,124 @@
+package conn
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// chunked and endsWithConnection are the content lengths by which fasthttp marks a body in chunks and one that ends with its
+	// connection.
+	chunked            = -1
+	endsWithConnection = -2
+)
+
+// ReadResponse reads a whole response with a body of at most limit bytes.
+func ReadResponse(r *bufio.Reader, response *fasthttp.Response, limit int) error {
+	source, err := readHead(r, response)
+	if err != nil || source == nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(source, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = fmt.Errorf("%w: more than %d bytes arrived", ErrBodyTooLong, limit)
+	}
+	if err != nil {
+		return fmt.Errorf("read the body of the response: %w", err)
+	}
+	setBody(response, body)
+	return nil
+}
+
+// readHead skips interim responses and reads the head of the response after them. It returns a reader of the body, or nil if the
+// response has none.
+func readHead(r *bufio.Reader, response *fasthttp.Response) (io.Reader, error) {
+	if err := skipInterim(r); err != nil {
+		return nil, err
+	}
+	// A body that fasthttp buffers takes up memory for its stated length before any byte has arrived.
+	response.StreamBody = true
+	if err := response.Read(r); err != nil {
+		return nil, err //nolint:wrapcheck // wrapped by the call
+	}
+	source := response.BodyStream()
+	if source != nil && response.Header.ContentLength() == chunked {
+		source = &chunkedBody{source: source, reader: r}
+	}
+	return source, nil
+}
+
+// setBody replaces the body stream of a response with the body that was read from it.
+func setBody(response *fasthttp.Response, body []byte) {
+	length := response.Header.ContentLength()
+	response.SetBodyRaw(body)
+	if length == endsWithConnection {
+		response.Header.SetContentLength(len(body))
+	}
+}
+
+// chunkedBody reads a body in chunks. Unlike fasthttp, which decodes it, it accepts no trailer with a malformed name.
+type chunkedBody struct {
+	source io.Reader
+	// reader is what source reads from.
+	reader *bufio.Reader
+	// left is the number of bytes of the current chunk that are still to be read. ended is set at the last chunk.
+	left  int64
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.left == 0 && !b.ended {
+		if err := b.checkChunk(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.source.Read(p)
+	b.left -= int64(n)
+	return n, err //nolint:wrapcheck // wrapped by the call
+}
+
+// checkChunk sets the size of the chunk that begins. At the last chunk, it waits until the trailers are buffered and checks them. It
+// consumes nothing.
+func (b *chunkedBody) checkChunk() error {
+	size, err := peekChunkSize(b.reader)
+	if err != nil {
+		return err
+	}
+	if b.left, b.ended = size, size == 0; !b.ended {
+		return nil
+	}
+	line, err := peekLine(b.reader, 0)
+	if err != nil {
+		return err
+	}
+	_, err = peekFields(b.reader, len(line))
+	return err
+}
+
+// peekChunkSize waits until r has buffered the size of a chunk, and returns it.
+func peekChunkSize(r *bufio.Reader) (int64, error) {
+	for digits := 0; ; digits++ {
+		text, err := r.Peek(digits + 1)
+		if err == io.EOF {
+			return 0, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return 0, err //nolint:wrapcheck // wrapped by the call
+		}
+		if !strings.ContainsRune(hexDigits, rune(text[digits])) {
+			size, err := strconv.ParseInt(string(text[:digits]), 16, 64)
+			if err != nil {
+				return 0, fmt.Errorf("parse the size of a chunk: %w", err)
+			}
+			return size, nil
+		}
+	}
+}
+
+const hexDigits = "0123456789abcdefABCDEF"
--- a/entry/order/send.go
+++ b/entry/order/send.go
@@ -78,11 +78,7 @@
 func readResponse(connection net.Conn) error {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	reader := bufio.NewReader(connection)
-	if err := conn.SkipInterim(reader); err != nil {
-		return eris.Wrap(err, "read the engine's response to the order")
-	}
-	if err := response.ReadLimitBody(reader, maxResponseBytes); err != nil {
+	if err := conn.ReadResponse(bufio.NewReader(connection), response, maxResponseBytes); err != nil {
 		return eris.Wrap(err, "read the engine's response to the order")
 	}
 	if code := response.StatusCode(); code != fasthttp.StatusOK && code != fasthttp.StatusAccepted {
--- a/entry/web/broken_test.go
+++ b/entry/web/broken_test.go
@@ -77,6 +77,11 @@
 		"last chunk cut":                    {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0", false, ""},
 		"no blank line after the last":      {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", false, ""},
 		"part of a trailer":                 {"plain", signed + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nSum: 1", false, ""},
+		"blank in a trailer":                {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX Sum: 1\r\n\r\n", false, ""},
+		"blank after a trailer":             {"plain", signed + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX-Sum : 1\r\n\r\n", false, ""},
+		"blank before a trailer":            {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX-Sum: 1\r\n X-Sum: 2\r\n\r\n", false, ""},
+		"control byte in a trailer":         {"plain", signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX-\x01Sum: 1\r\n\r\n", false, ""},
+		"trailers of allowed bytes":         {"plain", signed + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX-Sum: 1\r\n!#$%&'*+-.^_`|~09azAZ: 1 : 2\r\n\r\n", false, "fine"},
 		"no length":                         {"plain", signed + "\r\nfine", false, "fine"},
 		"no length, reset":                  {"plain", signed + "\r\nhalf", true, ""},
 		"no length, empty, reset":           {"plain", signed + "\r\n", true, ""},
@@ -102,6 +107,8 @@
 		"stream, no last chunk":             {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n", false, ""},
 		"stream, last chunk cut":            {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\n", false, ""},
 		"stream, part of a trailer":         {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\nSum: 1", false, ""},
+		"stream, blank in a trailer":        {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\nX Sum: 1\r\n\r\n", false, ""},
+		"stream, trailer":                   {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\nX-Sum: 1\r\n\r\n", false, oneEvent},
 		"stream, chunks end in an event":    {"stream", events + "Transfer-Encoding: chunked\r\n\r\nc\r\nid: 1\ndata: \r\n0\r\n\r\n", false, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
