Responses of HTTP/1.0 in chunks are no responses

Callers saw: a 200 whose body was the chunks themselves, sizes and all, for a response with Transfer-Encoding whose version is not 1.1; as a stream, chunks within chunks.

Cause: fasthttp ignores Transfer-Encoding in responses of other versions and reads up to the end of the connection. RFC 9112, 6.1, has such a message treated as if its framing is faulty.

Change: the check of a head refuses the field in a response of another version.

Evidence: FuzzResponse found it (HTTP/1.2 in its seeds now; fails on the same bytes).

--- a/entry/conn/cut_test.go
+++ b/entry/conn/cut_test.go
@@ -148,7 +148,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\nSum: 1\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nbody", "HTTP/1.1 200 OK\r\nId: ",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n", "\r\nHTTP/1.0 200 OK\r\n\r\nbody",
-		"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", "HTTP/0.0 000 00000000000000000\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", "HTTP/1.2 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/0.0 000 00000000000000000\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
--- a/entry/conn/interim.go
+++ b/entry/conn/interim.go
@@ -23,6 +23,7 @@
 	errSwitched       = errors.New("upstream switched protocols unasked")
 	errManyInterim    = errors.New("too many interim responses")
 	errMalformedField = errors.New("response has a malformed header field")
+	errFaultyFraming  = errors.New("response has a transfer coding that its version does not know")
 	errLongHead       = errors.New("head of the response is too long")
 )
 
@@ -59,14 +60,24 @@
 
 // checkHead waits until r has buffered the head of a response, and returns an error if the head has a malformed field. It consumes
 // nothing. fasthttp accepts blanks in the names of fields, drops those before a colon, and joins lines that begin with one, so that
-// another reader of HTTP would find other fields.
+// another reader of HTTP would find other fields. It ignores Transfer-Encoding unless the version is 1.1, and takes the chunks for the
+// body (RFC 9112, section 6.1, calls that framing faulty).
 func checkHead(r *bufio.Reader) error {
 	line, err := peekLine(r, 0)
 	if err != nil {
 		return err
 	}
-	_, err = peekFields(r, len(line))
-	return err
+	http11 := bytes.HasPrefix(line, []byte("HTTP/1.1 "))
+	end, err := peekFields(r, len(line))
+	if err != nil || http11 {
+		return err
+	}
+	// It never fails for what is buffered.
+	head, _ := r.Peek(end)
+	if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+		return errFaultyFraming
+	}
+	return nil
 }
 
 // peekFields waits until r has buffered lines of fields from an index on and the blank line after them. It returns the index where
