Responses state this server's version of HTTP, not their upstream's

Callers saw: a stream of an HTTP/1.0 upstream, which is sound, began with "HTTP/1.0 200" and came in chunks. Clients that read no chunks in HTTP/1.0 took their sizes for a part of the body.

Cause: the status line of a response was passed on with the upstream's version, while the framing is this server's.

Change: the version is set where the fields of the connection are.

The case "stream, HTTP/1.0" of TestBrokenResponses got "f\r\nid: 1\n..." for an event before, on both routes, and gets the event now.

--- a/entry/http1/exchange.go
+++ b/entry/http1/exchange.go
@@ -258,8 +258,10 @@
 	return err //nolint:wrapcheck // wrapped by the caller
 }
 
-// writeConnectionFields tells the caller whether, and for how long, it may send another request on the connection.
+// writeConnectionFields tells the caller whether, and for how long, it may send another request on the connection. The header of an
+// upstream also states that upstream's version of HTTP, by which the caller would read the framing of this server.
 func (x *Exchange) writeConnectionFields(h *fasthttp.ResponseHeader) {
+	h.SetProtocol([]byte("HTTP/1.1"))
 	switch seconds := int64(x.idleTimeout / time.Second); {
 	case x.closeAfter:
 		h.SetConnectionClose()
--- a/entry/web/broken_test.go
+++ b/entry/web/broken_test.go
@@ -107,6 +107,7 @@
 		"stream, blank in an interim head":  {"stream", "HTTP/1.1 103 X\r\nX Note: 1\r\n\r\n" + events + "Content-Length: 15\r\n\r\n" + oneEvent, false, ""},
 		"stream, names of allowed bytes":    {"stream", events + "!#$%&'*+-.^_`|~09azAZ: 1 : 2\r\nContent-Length: 15\r\n\r\n" + oneEvent, false, oneEvent},
 		"stream, chunks, HTTP/1.0":          {"stream", "HTTP/1.0 200 X\r\nId: request-1\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n0\r\n\r\n", false, ""},
+		"stream, HTTP/1.0":                  {"stream", "HTTP/1.0 200 X\r\nId: request-1\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n\r\n" + oneEvent, false, oneEvent},
 		"no length, HTTP/1.0":               {"plain", "HTTP/1.0 200 X\r\nId: request-1\r\nSigned: 1\r\n\r\nfine", false, "fine"},
 		"stream, no chunk":                  {"stream", events + "Transfer-Encoding: chunked\r\n\r\n", false, ""},
 		"stream, no last chunk":             {"stream", events + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + oneEvent + "\r\n", false, ""},
