--- a/entry/conn/interim.go
+++ b/core/httpread/head.go
@@ -1,4 +1,6 @@
-package conn
+// Package httpread reads the responses of other processes in HTTP/1. It decodes them with fasthttp, and refuses what fasthttp accepts
+// although other readers of HTTP would find another response in it.
+package httpread
 
 import (
 	"bufio"
@@ -52,7 +54,7 @@
 			return nil
 		}
 		if err := header.Read(r); err != nil {
-			return err //nolint:wrapcheck // wrapped by the call
+			return err //nolint:wrapcheck // wrapped by the caller
 		}
 	}
 	return errManyInterim
--- a/entry/conn/response.go
+++ b/core/httpread/response.go
@@ -1,7 +1,8 @@
-package conn
+package httpread
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -10,55 +11,44 @@
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	// chunked and endsWithConnection are the content lengths by which fasthttp marks a body in chunks and one that ends with its
-	// connection.
-	chunked            = -1
-	endsWithConnection = -2
-)
+// chunked is the content length by which fasthttp marks a body in chunks.
+const chunked = -1
+
+var errLongBody = errors.New("body of the response is too long")
 
-// ReadResponse reads a whole response with a body of at most limit bytes.
-func ReadResponse(r *bufio.Reader, response *fasthttp.Response, limit int) error {
-	source, err := readHead(r, response)
+// Response reads a whole response with a body of at most limit bytes.
+func Response(r *bufio.Reader, response *fasthttp.Response, limit int) error {
+	source, err := Head(r, response)
 	if err != nil || source == nil {
 		return err
 	}
 	body, err := io.ReadAll(io.LimitReader(source, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = fmt.Errorf("%w: more than %d bytes arrived", ErrBodyTooLong, limit)
-	}
 	if err != nil {
 		return fmt.Errorf("read the body of the response: %w", err)
 	}
-	setBody(response, body)
+	if len(body) > limit {
+		return fmt.Errorf("%w: more than %d bytes arrived", errLongBody, limit)
+	}
+	response.SetBodyRaw(body)
 	return nil
 }
 
-// readHead skips interim responses and reads the head of the response after them. It returns a reader of the body, or nil if the
-// response has none.
-func readHead(r *bufio.Reader, response *fasthttp.Response) (io.Reader, error) {
+// Head skips interim responses and reads the head of the response after them. It returns a reader of the body, or nil if the response
+// has none. An error means that what arrived is no response, whatever the error is.
+func Head(r *bufio.Reader, response *fasthttp.Response) (body io.Reader, err error) {
 	if err := skipInterim(r); err != nil {
 		return nil, err
 	}
 	// A body that fasthttp buffers takes up memory for its stated length before any byte has arrived.
 	response.StreamBody = true
 	if err := response.Read(r); err != nil {
-		return nil, err //nolint:wrapcheck // wrapped by the call
+		return nil, err //nolint:wrapcheck // wrapped by the caller
 	}
-	source := response.BodyStream()
-	if source != nil && response.Header.ContentLength() == chunked {
-		source = &chunkedBody{source: source, reader: r}
-	}
-	return source, nil
-}
-
-// setBody replaces the body stream of a response with the body that was read from it.
-func setBody(response *fasthttp.Response, body []byte) {
-	length := response.Header.ContentLength()
-	response.SetBodyRaw(body)
-	if length == endsWithConnection {
-		response.Header.SetContentLength(len(body))
+	body = response.BodyStream()
+	if body != nil && response.Header.ContentLength() == chunked {
+		body = &chunkedBody{source: body, reader: r}
 	}
+	return body, nil
 }
 
 // chunkedBody reads a body in chunks. Unlike fasthttp, which decodes it, it accepts no trailer with a malformed name.
@@ -80,7 +70,7 @@
 	}
 	n, err := b.source.Read(p)
 	b.left -= int64(n)
-	return n, err //nolint:wrapcheck // wrapped by the call
+	return n, err //nolint:wrapcheck // wrapped by the caller
 }
 
 // checkChunk sets the size of the chunk that begins. At the last chunk, it waits until the trailers are buffered and checks them. It
@@ -109,7 +99,7 @@
 			return 0, io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return 0, err //nolint:wrapcheck // wrapped by the call
+			return 0, err //nolint:wrapcheck // wrapped by the caller
 		}
 		if !strings.ContainsRune(hexDigits, rune(text[digits])) {
 			size, err := strconv.ParseInt(string(text[:digits]), 16, 64)
--- a/entry/conn/conn.go
+++ b/entry/conn/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"azuredoor.example/core/httpread"
 )
 
 // ErrReadTimeout means that no byte of a response arrived within the timeout of a read.
@@ -360,7 +362,7 @@
 	}
 	for range maxMismatched {
 		response.SkipBody = call.Request.Header.IsHead()
-		source, err := readHead(c.reader, response)
+		source, err := httpread.Head(c.reader, response)
 		if err != nil {
 			return nil, err
 		}
@@ -398,16 +400,23 @@
 	if source == nil {
 		return nil
 	}
-	body, err := c.pool.buffers.read(ctx, source, response.Header.ContentLength(), limit)
+	length := response.Header.ContentLength()
+	body, err := c.pool.buffers.read(ctx, source, length, limit)
 	if err != nil {
 		// Closing the stream only returns it to its pool.
 		_ = response.CloseBodyStream()
 		return err
 	}
-	setBody(response, body)
+	response.SetBodyRaw(body)
+	if length == endsWithConnection {
+		response.Header.SetContentLength(len(body))
+	}
 	return nil
 }
 
+// endsWithConnection is the content length by which fasthttp marks a body that ends with its connection.
+const endsWithConnection = -2
+
 // Body is the streamed body of a response. A Body is not safe for concurrent use.
 type Body struct {
 	pool       *Pool
--- a/entry/order/send.go
+++ b/entry/order/send.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"azuredoor.example/entry/conn"
+	"azuredoor.example/core/httpread"
 )
 
 // HTTP sends orders over HTTP.
@@ -78,7 +78,7 @@
 func readResponse(connection net.Conn) error {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	if err := conn.ReadResponse(bufio.NewReader(connection), response, maxResponseBytes); err != nil {
+	if err := httpread.Response(bufio.NewReader(connection), response, maxResponseBytes); err != nil {
 		return eris.Wrap(err, "read the engine's response to the order")
 	}
 	if code := response.StatusCode(); code != fasthttp.StatusOK && code != fasthttp.StatusAccepted {
