A malformed response of the leader is no answer to a forwarded call

Operators would see: a 200 with a body that the leader did not send, or a change of the members reported as made, when what answers at the leader's address sends a response with status 000, a blank in the name of a field, or chunks of HTTP/1.0.

Cause: members forwarded calls with fasthttp's client, which reads responses as leniently as its parser does, and takes 000 for 200.

Change: forwarding opens a connection, as it did for each call before, and reads the response with httpread. A malformed one counts like none: the call is tried again until its time is over.

Tests of control/admin, server and daemon pass.

--- a/control/admin/forward.go
+++ b/control/admin/forward.go
@@ -1,13 +1,16 @@
 package admin
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"azuredoor.example/control/member"
+	"azuredoor.example/core/httpread"
 )
 
 const (
@@ -17,6 +20,8 @@
 	// readAttemptTimeout bounds each attempt to forward a read to the leader.
 	readAttemptTimeout  = 1500 * time.Millisecond
 	leaderRetryInterval = 50 * time.Millisecond
+	// maxForwardedBytes bounds the body of the leader's response.
+	maxForwardedBytes = 64 << 20
 )
 
 // errForwarded indicates that the call was forwarded and that the response of another member was relayed.
@@ -98,7 +103,7 @@
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(deadline) {
 		deadline = ctxDeadline
 	}
-	if err := s.client.DoDeadline(request, response, deadline); err != nil {
+	if err := s.exchange(ctx, address, request, response, deadline); err != nil {
 		return false
 	}
 	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
@@ -108,3 +113,19 @@
 	c.SetBody(response.Body())
 	return true
 }
+
+// exchange sends a request to the member at address and reads the response, until the deadline.
+func (s *Server) exchange(ctx context.Context, address string, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
+	connection, err := s.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "connect to the leader")
+	}
+	defer connection.Close() //nolint:errcheck // nothing is lost by it
+	if err := connection.SetDeadline(deadline); err != nil {
+		return eris.Wrap(err, "set the deadline of the connection to the leader")
+	}
+	if _, err := request.WriteTo(connection); err != nil {
+		return eris.Wrap(err, "send the call to the leader")
+	}
+	return eris.Wrap(httpread.Response(bufio.NewReader(connection), response, maxForwardedBytes), "read the leader's response")
+}
--- a/control/admin/server.go
+++ b/control/admin/server.go
@@ -70,14 +70,15 @@
 type Server struct {
 	config Config
 	http   *fasthttp.Server
-	client *fasthttp.Client
+	// dialer opens connections to other members.
+	dialer net.Dialer
 	// memory bounds what is held for the bodies of all calls.
 	memory *budget.Budget
 }
 
 // New returns a server that accepts no connections until Serve is called.
 func New(config Config) *Server {
-	s := &Server{config: config, memory: budget.New(maxHeldBytes)}
+	s := &Server{config: config, memory: budget.New(maxHeldBytes), dialer: net.Dialer{Timeout: dialTimeout}}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "azuredoor-control", MaxRequestBodySize: maxBodyBytes, StreamRequestBody: true,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
@@ -85,22 +86,12 @@
 		// Connection errors are caused by clients and must not flood the log.
 		Logger: discardLogger{},
 	}
-	s.client = &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxResponseBodySize: 64 << 20,
-		Dial: dialFrom(config.Source),
+	if ip := net.ParseIP(config.Source); ip != nil {
+		s.dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return s
 }
 
-// dialFrom returns a dial function for connections whose local address is source, if source is an IP address.
-func dialFrom(source string) fasthttp.DialFunc {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	if ip := net.ParseIP(source); ip != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	}
-	return func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) }
-}
-
 type discardLogger struct{}
 
 // Printf implements fasthttp.Logger.
