azuredoorctl: a malformed response is no success

Operators would see: a change reported as made, or a result, when what answers at a member's address sends status 000 or a blank in the name of a field.

Cause: net/http accepts both, and every status below 300 counted as success.

Change: such a response counts like a broken connection, so the next member is asked, and a change whose outcome is unknown is reported as that.

Evidence: 4 of 6 cases of TestMalformedResponse took the result of the wrong member and reported the change as made before; all pass now. Heads of interim responses and trailers, which net/http drops, are not checked here.

The stand-in of the leader in control/admin uses httptest as well; same cases.

--- a/control/admin/forward_test.go
+++ b/control/admin/forward_test.go
@@ -1,43 +1,34 @@
 package admin
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
-	"golang.org/x/sync/errgroup"
-
 	"azuredoor.example/control/member"
 	"azuredoor.example/core/fleetpb"
 )
 
-// startLeader starts a stand-in for the leader that sends first to its first connection and then to all others.
+// startLeader starts a stand-in for the leader that sends first as the response to its first call and then as that to all others.
 func startLeader(t *testing.T, first, then string) (address string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
-	t.Cleanup(func() {
-		ln.Close()
-		_ = group.Wait()
-	})
-	group.Go(func() error {
-		for text := first; ; text = then {
-			c, err := ln.Accept()
-			if err != nil {
-				return nil
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, text)
-			}
-			c.Close()
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		text := first
+		if calls.Add(1) > 1 {
+			text = then
 		}
-	})
-	return ln.Addr().String()
+		_, _ = io.WriteString(c, text)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
 
 // TestMalformedResponseOfLeader guards against an operator who gets, as the answer of the leader, bytes that are no response.
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -155,6 +156,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "read the response from %s", member)
 	}
+	if err := checkHead(response); err != nil {
+		return nil, eris.Wrapf(err, "read the response from %s", member)
+	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return nil, newError(member, response.StatusCode, responseBody)
 	}
@@ -163,3 +167,17 @@
 	}
 	return responseBody, nil
 }
+
+// checkHead returns an error if a response is malformed although net/http accepts it.
+func checkHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return eris.Errorf("%q is no status of a response", response.Status)
+	}
+	for name := range response.Header {
+		// net/http accepts no other byte that a name may not hold.
+		if strings.Contains(name, " ") {
+			return eris.Errorf("the name of the header field %q has a blank", name)
+		}
+	}
+	return nil
+}
