--- a/core/httpread/head.go
+++ b/core/httpread/head.go
@@ -24,7 +24,7 @@
 	errNoStatusLine   = errors.New("received bytes are no response")
 	errSwitched       = errors.New("upstream switched protocols unasked")
 	errManyInterim    = errors.New("too many interim responses")
-	errMalformedField = errors.New("response has a malformed header field")
+	errMalformedField = errors.New("malformed header field")
 	errFaultyFraming  = errors.New("response has a transfer coding that its version does not know")
 	errLongHead       = errors.New("head of the response is too long")
 )
@@ -94,10 +94,31 @@
 		if string(line) == "\r\n" {
 			return end, nil
 		}
-		if name, _, found := bytes.Cut(line, []byte(":")); !found || !httpguts.ValidHeaderFieldName(string(name)) {
-			return 0, fmt.Errorf("%w: %.40q", errMalformedField, line)
+		if err := checkField(line); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// checkField returns an error if a line of a head does not begin with the name of a field and a colon.
+func checkField(line []byte) error {
+	if name, _, found := bytes.Cut(line, []byte(":")); !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return fmt.Errorf("%w: %.40q", errMalformedField, line)
+	}
+	return nil
+}
+
+// CheckFields returns an error if a line of the raw fields of a request, as fasthttp keeps them, is malformed.
+func CheckFields(raw []byte) error {
+	for line := range bytes.Lines(raw) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			continue
+		}
+		if err := checkField(line); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // peekLine waits until r has buffered the line that begins at an index, and returns it with its line break.
--- a/entry/announce/announce.go
+++ b/entry/announce/announce.go
@@ -17,6 +17,7 @@
 
 	"azuredoor.example/core/event"
 	"azuredoor.example/core/fleetpb"
+	"azuredoor.example/core/httpread"
 	"azuredoor.example/core/settings"
 	"azuredoor.example/entry/control"
 )
@@ -100,6 +101,10 @@
 		writeError(ctx, fasthttp.StatusUnauthorized, "the join token is missing or wrong")
 		return
 	}
+	if err := httpread.CheckFields(ctx.Request.Header.RawHeaders()); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
 	a, err := Decode(ctx.PostBody())
 	if err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, err.Error())
