Test: streams at an entry out of step while a software version joins

The report: during a release, one entry was cut off from the others, or stood still, while upstreams of a new version joined. Streams that had begun on them through other entries broke, were taken up at that entry, and went on at another version.

It does not happen here. TestOutOfStepEntryKeepsSoftwareVersions starts the programs, brings an entry out of step for 1 or 4 s (its process is stopped, or its connections to the control group carry nothing), lets v2 join, begins streams at both versions through another entry, breaks them, and takes them up at the first entry until it is in step again. All go on at their own version; if all control members were killed in between, so that nobody remembers where the streams began, all take-ups are refused. No product code is changed.

TestTakenUpStreamAtLateView covers the second without processes.

--- a/entry/web/origin_test.go
+++ b/entry/web/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -21,8 +22,9 @@
 type fakeOrigins struct {
 	mu      sync.Mutex
 	origins map[string]control.Origin
-	// findErr is the error for origins that are not known, confirmErr that of ConfirmView.
+	// findErr is the error for origins that are not known, confirmErr that of ConfirmView. confirming, if set, is called by ConfirmView.
 	findErr, confirmErr error
+	confirming          func()
 }
 
 func (f *fakeOrigins) RecordOrigin(_ context.Context, o control.Origin, stored func()) {
@@ -41,7 +43,12 @@
 	return control.Origin{}, f.findErr
 }
 
-func (f *fakeOrigins) ConfirmView(context.Context) error { return f.confirmErr }
+func (f *fakeOrigins) ConfirmView(context.Context) error {
+	if f.confirming != nil {
+		f.confirming()
+	}
+	return f.confirmErr
+}
 
 // useVersions sets the software versions of the decode engines, in their order.
 func (b *testRouter) useVersions(origins Origins, versions ...string) {
@@ -147,6 +154,35 @@
 	}
 }
 
+// TestTakenUpStreamAtLateView guards against a stream that goes on at the only software version of a view that lacks the one at which the
+// stream began.
+func TestTakenUpStreamAtLateView(t *testing.T) {
+	for name, findErr := range map[string]error{"not recorded": control.ErrNoOrigin, "members silent": errors.New("no member answers")} {
+		t.Run(name, func(t *testing.T) {
+			engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
+			b := newTestRouter(t, nil, nil, engines[:1])
+			origins := &fakeOrigins{origins: map[string]control.Origin{}, findErr: findErr}
+			b.useVersions(origins, "v1")
+			origins.confirming = func() {
+				newest := *b.control.view
+				newest.Upstreams = maps.Clone(newest.Upstreams)
+				newest.Upstreams["edecode1"] = &fleetpb.Upstream{
+					Id: "edecode1", Address: engines[1].address, Pool: "e", Role: "decode", Incarnation: 1, Slots: 8,
+					State: fleetpb.UpstreamState_UPSTREAM_STATE_ACTIVE, SoftwareVersion: "v2",
+				}
+				b.control.changed.Store(&newest)
+			}
+			got := b.send(t, "POST", "/stream/x", map[string]string{"Tokens": "100", "After": "3", "Continues": "first"})
+			if got.status != 503 || got.header.Get("Retry-After") == "" {
+				t.Errorf("got status %d, Retry-After %q, want 503 with Retry-After", got.status, got.header.Get("Retry-After"))
+			}
+			if n := len(engines[0].requests()) + len(engines[1].requests()); n != 0 {
+				t.Errorf("got %d requests at engines, want none", n)
+			}
+		})
+	}
+}
+
 // TestOriginIsRecordedBeforeTheFirstEvent guards against a stream whose caller has an event, but whose origin nobody knows.
 func TestOriginIsRecordedBeforeTheFirstEvent(t *testing.T) {
 	engines := []*upstream{startUpstream(t, streamScript(false)), startUpstream(t, streamScript(false))}
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -38,9 +38,10 @@
 	network  string
 	controls []*fleet.Process
 	entry    *fleet.Process
-	// startControl starts the control process with the given index, startEntry the entry.
+	// startControl starts the control process with the given index, startEntry the entry, and startEntryAt one with another index.
 	startControl func(i int, args ...string) *fleet.Process
 	startEntry   func() *fleet.Process
+	startEntryAt func(i int) *fleet.Process
 }
 
 // restartEntry kills the entry and starts it again. It calls whileDown in between.
@@ -76,7 +77,10 @@
 	return addresses
 }
 
-func (p *platform) entryAddress() string { return p.address(51, platformPort) }
+// entryHost is the host number of the entry with index 0; those of the others follow.
+const entryHost = 51
+
+func (p *platform) entryAddress() string { return p.address(entryHost, platformPort) }
 
 // startPlatform starts the processes in a network of their own, 127.N.0.x, and puts the first document.
 func startPlatform(t *testing.T) *platform {
@@ -113,9 +117,11 @@
 	for i := range platformControls {
 		p.controls = append(p.controls, p.startControl(i, "-first-start=true"))
 	}
-	p.startEntry = func() *fleet.Process {
-		return start("entry", 51, 0, append([]string{"-ready-listen", p.address(51, platformReadyPort), "-grace", platformGrace.String()}, entryArgs...)...)
+	p.startEntryAt = func(i int) *fleet.Process {
+		host := entryHost + i
+		return start("entry", host, i, append([]string{"-ready-listen", p.address(host, platformReadyPort), "-grace", platformGrace.String()}, entryArgs...)...)
 	}
+	p.startEntry = func() *fleet.Process { return p.startEntryAt(0) }
 	p.entry = p.startEntry()
 	t.Cleanup(func() {
 		for _, process := range append(p.controls, p.entry) {
--- a/itest/version_test.go
+++ b/itest/version_test.go
@@ -10,9 +10,12 @@
 	"azuredoor.example/platform/standin"
 )
 
-// openStream sends a call for a stream of more events than the test reads.
+// streamEvents is the number of events of a stream, more than any test reads.
+const streamEvents = 200
+
+// openStream sends a call for a stream.
 func (p *platform) openStream(id string, interrupted *standin.Interrupted) (*http.Response, string, error) {
-	return standin.OpenStream(p.t.Context(), p.entryAddress(), standin.Call{ID: id, Path: standin.StreamPath, Key: platformKey, Events: 200}, interrupted)
+	return standin.OpenStream(p.t.Context(), p.entryAddress(), standin.Call{ID: id, Path: standin.StreamPath, Key: platformKey, Events: streamEvents}, interrupted)
 }
 
 // TestStreamsKeepTheirSoftwareVersionWhenAllEntriesAreKilled guards against streams that their callers take up again, and that go on at
