Responses with a control byte in their status line are no responses

Callers saw: a 200 whose status line was passed on with a control byte in the reason; a carriage return there became a blank.

Cause: fasthttp checks the values of fields for control bytes, but not the reason (RFC 9112, section 4).

Change: the check of a head covers the status line.

A missing reason, and one with tabs and bytes above 0x7f, still pass; control bytes in values were refused before.

--- a/core/httpread/head.go
+++ b/core/httpread/head.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
@@ -24,6 +25,7 @@
 	errNoStatusLine   = errors.New("received bytes are no response")
 	errSwitched       = errors.New("upstream switched protocols unasked")
 	errManyInterim    = errors.New("too many interim responses")
+	errControlByte    = errors.New("status line has a control byte")
 	errMalformedField = errors.New("malformed header field")
 	errFaultyFraming  = errors.New("response has a transfer coding that its version does not know")
 	errLongHead       = errors.New("head of the response is too long")
@@ -60,18 +62,22 @@
 	return errManyInterim
 }
 
-// checkHead waits until r has buffered the head of a response, and returns an error if the head has a malformed field. It consumes
-// nothing. fasthttp accepts blanks in the names of fields, drops those before a colon, and joins lines that begin with one, so that
-// another reader of HTTP would find other fields. It ignores Transfer-Encoding unless the version is 1.1, and takes the chunks for the
-// body (RFC 9112, section 6.1, calls that framing faulty).
+// checkHead waits until r has buffered the head of a response, and returns an error if the head is malformed. It consumes nothing.
+// fasthttp accepts blanks in the names of fields, drops those before a colon, and joins lines that begin with one, so that another
+// reader of HTTP would find other fields. It passes control bytes of the status line on. It ignores Transfer-Encoding unless the
+// version is 1.1, and takes the chunks for the body (RFC 9112, section 6.1, calls that framing faulty).
 func checkHead(r *bufio.Reader) error {
 	line, err := peekLine(r, 0)
 	if err != nil {
 		return err
 	}
-	http11 := bytes.HasPrefix(line, []byte("HTTP/1.1 "))
+	// The bytes that peekLine returns are valid until the next read.
+	status := strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r")
+	if !httpguts.ValidHeaderFieldValue(status) {
+		return errControlByte
+	}
 	end, err := peekFields(r, len(line))
-	if err != nil || http11 {
+	if err != nil || strings.HasPrefix(status, "HTTP/1.1 ") {
 		return err
 	}
 	// It never fails for what is buffered.
