--- a/core/httpread/head.go
+++ b/core/httpread/head.go
@@ -1,5 +1,6 @@
-// Package httpread reads the responses of other processes in HTTP/1. It decodes them with fasthttp, and refuses what fasthttp accepts
-// although other readers of HTTP would find another response in it.
+// Package httpread reads the HTTP/1 responses of other processes. It decodes them with fasthttp, and refuses what fasthttp accepts
+// although other readers of HTTP would find another response in it. CheckFields does the same for the fields of a request that a server
+// of fasthttp has read.
 package httpread
 
 import (
@@ -114,7 +115,7 @@
 	return nil
 }
 
-// CheckFields returns an error if a line of the raw fields of a request, as fasthttp keeps them, is malformed.
+// CheckFields returns an error if one of the fields of a request is malformed. They are those that RequestHeader.RawHeaders returns.
 func CheckFields(raw []byte) error {
 	for line := range bytes.Lines(raw) {
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
--- a/core/httpread/response.go
+++ b/core/httpread/response.go
@@ -53,8 +53,9 @@
 
 // chunkedBody reads a body in chunks. Unlike fasthttp, which decodes it, it accepts no trailer with a malformed name.
 type chunkedBody struct {
+	// source decodes the body. A read of it ends within a chunk, or after the line break that follows the chunk.
 	source io.Reader
-	// reader is what source reads from.
+	// reader is what source reads from. Between two chunks, its next bytes are the size of the second one.
 	reader *bufio.Reader
 	// left is the number of bytes of the current chunk that are still to be read. ended is set at the last chunk.
 	left  int64
