Tests of the control group: restarted members keep their ports

Cause: a member that crashes and starts again listens on the port that the kernel had chosen for it, at 127.0.0.1, where tests of other packages that run at the same time are given free ports too. The product does not choose ports.

Change: the members listen at a loopback address of the test's own process.

--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -61,12 +61,19 @@
 	t.Helper()
 	p := &process{
 		t: t, number: number, dir: t.TempDir(),
-		address: "127.0.0.1:0", adminAddress: "127.0.0.1:0", proxy: newProxy(t),
+		address: ownHost() + ":0", adminAddress: ownHost() + ":0", proxy: newProxy(t),
 	}
 	p.start()
 	return p
 }
 
+// ownHost returns a loopback address of this process alone. A member that starts again listens on the ports that it had before, which
+// tests of other packages, at 127.0.0.1, could have taken in the meantime.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.250.%d.%d", pid>>8&0xff, pid&0xff)
+}
+
 // start starts the process. After a stop, start uses the same addresses and directory again.
 func (p *process) start() {
 	p.t.Helper()
