--- a/core/httpread/response.go
+++ b/core/httpread/response.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
-	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -14,7 +12,10 @@
 // chunked is the content length by which fasthttp marks a body in chunks.
 const chunked = -1
 
-var errLongBody = errors.New("body of the response is too long")
+var (
+	errLongBody  = errors.New("body of the response is too long")
+	errChunkSize = errors.New("chunk has no size, or one that is too long")
+)
 
 // Response reads a whole response with a body of at most limit bytes.
 func Response(r *bufio.Reader, response *fasthttp.Response, limit int) error {
@@ -92,9 +93,12 @@
 	return err
 }
 
+// maxSizeDigits bounds the digits of the size of a chunk, which fits an int64.
+const maxSizeDigits = 15
+
 // peekChunkSize waits until r has buffered the size of a chunk, and returns it.
-func peekChunkSize(r *bufio.Reader) (int64, error) {
-	for digits := 0; ; digits++ {
+func peekChunkSize(r *bufio.Reader) (size int64, err error) {
+	for digits := 0; digits <= maxSizeDigits; digits++ {
 		text, err := r.Peek(digits + 1)
 		if err == io.EOF {
 			return 0, io.ErrUnexpectedEOF
@@ -102,14 +106,27 @@
 		if err != nil {
 			return 0, err //nolint:wrapcheck // wrapped by the caller
 		}
-		if !strings.ContainsRune(hexDigits, rune(text[digits])) {
-			size, err := strconv.ParseInt(string(text[:digits]), 16, 64)
-			if err != nil {
-				return 0, fmt.Errorf("parse the size of a chunk: %w", err)
-			}
+		digit, ok := hexDigit(text[digits])
+		if !ok && digits > 0 {
 			return size, nil
 		}
+		if !ok {
+			break
+		}
+		size = size<<4 | digit
 	}
+	return 0, errChunkSize
 }
 
-const hexDigits = "0123456789abcdefABCDEF"
+// hexDigit returns the value of a hexadecimal digit, and false for any other byte.
+func hexDigit(c byte) (value int64, ok bool) {
+	switch {
+	case '0' <= c && c <= '9':
+		return int64(c - '0'), true
+	case 'a' <= c && c <= 'f':
+		return int64(c-'a') + 10, true
+	case 'A' <= c && c <= 'F':
+		return int64(c-'A') + 10, true
+	}
+	return 0, false
+}
