Test: count what is taken from an engine, not what its own kernel holds

Cause, from a trace of each call: the request reserves memory up to five times and releases it each time, and a release whose connection is closed only after a millisecond or more has let the engine write 4,002,761 bytes, which is the largest send buffer here (tcp_wmem) and the entry's receive buffer. The send buffer is the engine's own.

Change: the engine of the test has a send buffer of 64 KiB. The bound stays, and now holds for what reaches the entry's VM.

--- a/entry/web/endless_test.go
+++ b/entry/web/endless_test.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// engineSendBuffer is the size in bytes of the send buffer of an engine that sends without end. By default it grows to some megabytes.
+const engineSendBuffer = 64 << 10
+
 // TestEndlessResponseToRelease guards against an entry that ends, or keeps all bytes, when an engine responds without end to a call
 // that releases a reservation.
 func TestEndlessResponseToRelease(t *testing.T) {
@@ -164,6 +167,10 @@
 			return respond(c, r, 200, "", "room1")
 		case "DELETE /reserve/room1":
 			defer func() { closed <- struct{}{} }()
+			// What the engine's own kernel holds has not been taken from it.
+			if err := c.(*net.TCPConn).SetWriteBuffer(engineSendBuffer); err != nil {
+				t.Error(err)
+			}
 			if _, err := fmt.Fprint(c, "HTTP/1.1 200 X\r\nContent-Length: 999999999999999999\r\n\r\n"); err != nil {
 				return false
 			}
