--- a/core/httpread/response.go
+++ b/core/httpread/response.go
@@ -107,12 +107,12 @@
 			return 0, err //nolint:wrapcheck // wrapped by the caller
 		}
 		digit, ok := hexDigit(text[digits])
-		if !ok && digits > 0 {
+		switch {
+		case !ok && digits == 0:
+			return 0, errChunkSize
+		case !ok:
 			return size, nil
 		}
-		if !ok {
-			break
-		}
 		size = size<<4 | digit
 	}
 	return 0, errChunkSize
--- a/entry/web/origin_test.go
+++ b/entry/web/origin_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// TestTakenUpStreamAtLateView guards against a stream that goes on at the only software version of a view that lacks the one at which the
-// stream began.
+// TestTakenUpStreamAtLateView guards against a stream that is continued by another software version, because the entry's view does not
+// have the version at which the stream began yet.
 func TestTakenUpStreamAtLateView(t *testing.T) {
 	for name, findErr := range map[string]error{"not recorded": control.ErrNoOrigin, "members silent": errors.New("no member answers")} {
 		t.Run(name, func(t *testing.T) {
--- a/itest/outofstep_test.go
+++ b/itest/outofstep_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -243,11 +244,13 @@
 	// Callers go on for longer than the entry takes to be in step again.
 	const rejoinTime = 3 * time.Second
 	end := time.Now().Add(outage + rejoinTime)
-	time.AfterFunc(outage, rejoin)
+	rejoining := time.AfterFunc(outage, rejoin)
+	defer rejoining.Stop()
 	var group errgroup.Group
 	var refused, resumed atomic.Int32
 	for id, version := range began {
 		group.Go(func() error {
+			last := 0
 			for i := 0; time.Now().Before(end); i++ {
 				status, got := open(fmt.Sprint(id, "-", i), &standin.Interrupted{ID: id, LastEvent: 2})
 				if status == 200 {
@@ -257,9 +260,15 @@
 					}
 					return nil
 				}
-				refused.Add(1)
+				if status == http.StatusServiceUnavailable {
+					refused.Add(1)
+				}
+				last = status
 				time.Sleep(50 * time.Millisecond)
 			}
+			if last != http.StatusServiceUnavailable {
+				t.Errorf("%s: got status %d last, want it to go on or to be refused", id, last)
+			}
 			return nil
 		})
 	}
@@ -268,7 +277,4 @@
 	if !forgotten && int(resumed.Load()) != len(began) {
 		t.Errorf("got %d streams that went on, want all %d", resumed.Load(), len(began))
 	}
-	if refused.Load() == 0 && forgotten {
-		t.Error("got no take-up that was refused, want all")
-	}
 }
